Carry service requests to backend servers

Change: dotterproxy handles ANY /v1/services/{Template}/...; below it slots and a short queue (dotterservice, dotterqueue), routing (dotterrouter), tries, hedges and forwards (dotterexchange, dotterbudget), own connections over net/http's codecs (dotterconnection), keys (dotterclaims), metrics (dottermeter). dotterfake holds small fakes for tests. Ruled out: http.Transport, because it sends again by itself.

--- /dev/null
+++ b/internal/entry/dottermeter/doc.go
@@ -0,0 +1,2 @@
+// Package dottermeter counts what becomes of service requests, for /metrics.
+package dottermeter
--- /dev/null
+++ b/internal/entry/dotterproxy/limits.go
@@ -0,0 +1,65 @@
+package dotterproxy
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
+
+// ErrLimit means that a limit is outside its range.
+var ErrLimit = eris.New("limit out of range")
+
+// Limits bounds what the requests of a host use.
+type Limits struct {
+	BodyBytes            int                // largest body of a request, 0 to 64 MiB
+	BodyMemoryBytes      int                // bodies held at a time, 1 MiB to 1 GiB
+	AnswerBufferBytes    int                // answers up to this size are received whole first, 1 KiB to 1 MiB
+	InProgress           int                // requests in progress, 1 to 100000
+	QueueItems           int                // requests that wait for a slot, for each template, 1 to 10000
+	QueueWaitMillis      dotterclock.Millis // longest wait for a slot, 1 to 10000
+	TimeoutMillis        dotterclock.Millis // deadline where neither request nor template sets one, 10 to 600000
+	LongestTimeoutMillis dotterclock.Millis // most that a request may ask for, 10 to 3600000
+}
+
+// DefaultLimits returns the limits of a small host.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes:            1 << 20,
+		BodyMemoryBytes:      16 << 20,
+		AnswerBufferBytes:    64 << 10,
+		InProgress:           4096,
+		QueueItems:           256,
+		QueueWaitMillis:      500,
+		TimeoutMillis:        10 * dotterclock.Second,
+		LongestTimeoutMillis: 300 * dotterclock.Second,
+	}
+}
+
+// Check returns an ErrLimit that names the first field outside its range.
+func (l Limits) Check() error {
+	for _, r := range l.ranges() {
+		if r.value < r.least || r.value > r.most {
+			return eris.Wrapf(ErrLimit, "%s is %d, allowed are %d to %d", r.field, r.value, r.least, r.most)
+		}
+	}
+	return nil
+}
+
+// limitRange is a field with its allowed range.
+type limitRange struct {
+	field              string
+	value, least, most int64
+}
+
+func (l Limits) ranges() []limitRange {
+	return []limitRange{
+		{"BodyBytes", int64(l.BodyBytes), 0, 64 << 20},
+		{"BodyMemoryBytes", int64(l.BodyMemoryBytes), 1 << 20, 1 << 30},
+		{"AnswerBufferBytes", int64(l.AnswerBufferBytes), 1 << 10, 1 << 20},
+		{"InProgress", int64(l.InProgress), 1, 100_000},
+		{"QueueItems", int64(l.QueueItems), 1, 10_000},
+		{"QueueWaitMillis", int64(l.QueueWaitMillis), 1, 10_000},
+		{"TimeoutMillis", int64(l.TimeoutMillis), 10, 600_000},
+		{"LongestTimeoutMillis", int64(l.LongestTimeoutMillis), 10, 3_600_000},
+	}
+}
--- /dev/null
+++ b/internal/entry/dotterservice/ticket.go
@@ -0,0 +1,10 @@
+package dotterservice
+
+import "github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+
+// Ticket asks for a slot.
+type Ticket struct {
+	Rank     int                // lower goes first
+	Deadline dotterclock.Millis // instant by which the answer is wanted
+	Exclude  string             // a server that is not wanted, if another has a free slot
+}
