Add settings, configuration checks and edits, and the logger

Cause: a person's mistake in a settings or configuration file must be named by file, line, field and range, and two operators who edit at once must not undo each other. Change: strict JSON with comments (unknown, duplicate and mistyped fields are all named with their line), range checks that report all faults together, edits per item with the item as the editor saw it, the decision ring. Ruled out: json.Decoder's DisallowUnknownFields (names one field, no line, accepts other case); a compare of whole revisions for edits (refuses edits of different items that don't conflict).

--- /dev/null
+++ b/internal/base/dotterlog/decision.go
@@ -0,0 +1,27 @@
+package dotterlog
+
+import (
+	"encoding/json"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// Decision is one routing or placement decision.
+type Decision struct {
+	At      int64 // milliseconds since the Unix epoch
+	Message string
+	fields  []zapcore.Field
+}
+
+var _ json.Marshaler = Decision{}
+
+// MarshalJSON returns the decision as one flat object.
+func (d Decision) MarshalJSON() ([]byte, error) {
+	object := zapcore.NewMapObjectEncoder()
+	for _, f := range d.fields {
+		f.AddTo(object)
+	}
+	object.AddInt64("At", d.At)
+	object.AddString("Message", d.Message)
+	return json.Marshal(object.Fields)
+}
--- /dev/null
+++ b/internal/server/dottersettings/settings_test.go
@@ -0,0 +1,76 @@
+package dottersettings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const good = `{
+  "Host": "entry-a1", // a comment
+  "FailureDomain": "a",
+  "Region": "valparaiso",
+  "CallerListen": "127.0.0.1:8080",
+  "PeerListen": "127.0.0.1:8081",
+  "OperatorListen": "127.0.0.1:8082",
+  "StoreAddress": "127.0.0.1:7000",
+}`
+
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := Parse("f", []byte(good))
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:8081", s.PeerAdvertise)
+	assert.Equal(t, "127.0.0.1:7000", s.HostListAddress)
+	assert.Equal(t, defaultLimits(), s.Limits)
+}
+
+func TestParseNamesFileLineFieldAndRange(t *testing.T) {
+	tests := map[string]struct {
+		old, new string
+		want     string
+	}{
+		"unknown field": {`"Region"`, `"Reigon"`, "f:4: /Reigon: there is no such field"},
+		"bad address":   {`"127.0.0.1:8081"`, `"localhost:8081"`, `f:6: /PeerListen: "localhost:8081" is not an address`},
+		"bad name":      {`"entry-a1"`, `"entry a1"`, `f:2: /Host: "entry a1" is not a name`},
+		"out of range": {
+			`"StoreAddress"`, "\"Limits\": {\n\"MaxQueue\": 0},\n\"StoreAddress\"",
+			"f:9: /Limits/MaxQueue: 0 is out of range, allowed is 1 to 100000 requests",
+		},
+		"missing": {`"Host": "entry-a1",`, ``, "/Host: \"\" is not a name"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("f", []byte(strings.Replace(good, tc.old, tc.new, 1)))
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+}
+
+func TestExamplesAreAccepted(t *testing.T) {
+	paths, err := filepath.Glob("../../../examples/*/entry-*.jsonc")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, p := range paths {
+		t.Run(p, func(t *testing.T) {
+			data, err := os.ReadFile(p)
+			require.NoError(t, err)
+			_, err = Parse(p, data)
+			assert.NoError(t, err)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"Limits": {"MaxQueue": 1e9}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("f", data)
+		if err == nil {
+			assert.NoError(t, s.Check("f"))
+		}
+	})
+}
