Add the command line, both APIs and example configurations

Cause: operators and callers need a way in before the parts behind it land. Change: `dotterelusher` with its commands, exit codes and JSON output; the callers' and operators' HTTP APIs; settings and configurations for both users. Edits wait until every entry host heard from has the revision and name those that lag. Ruled out: edits sent straight to the store by the command line: operators' machines would need the store's address, and the checks would run twice. Conclusion: unit tests pass against a stub of the operators' API; not yet run against a daemon.

--- /dev/null
+++ b/internal/server/dotterapi/answer.go
@@ -0,0 +1,112 @@
+package dotterapi
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterjson"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
+)
+
+// minRetryAfter is the least that a refused caller is told to wait.
+const minRetryAfter dotterclock.Millis = 1000
+
+// readBody decodes the body into target, or answers with the faults and returns false.
+func readBody(w http.ResponseWriter, r *http.Request, maxBody int64, target any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, http.StatusRequestEntityTooLarge, dottermessage.ErrorAnswer{
+			Outcome: dotteroutcome.NotRun, Reason: "TooLarge",
+			Error: "the body is larger than " + strconv.FormatInt(maxBody, 10) + " bytes",
+		})
+		return false
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, dottermessage.ErrorAnswer{
+			Outcome: dotteroutcome.NotRun, Reason: "Incomplete", Error: "the body ended early",
+		})
+		return false
+	}
+	if err := dotterjson.Decode("body", data, target); err != nil {
+		writeFaults(w, err)
+		return false
+	}
+	return true
+}
+
+func writeFaults(w http.ResponseWriter, err error) {
+	answer := dottermessage.ErrorAnswer{Outcome: dotteroutcome.NotRun, Reason: "Invalid", Error: err.Error()}
+	var faults *dottercheck.Faults
+	if errors.As(err, &faults) {
+		answer.Faults = faults.List
+	}
+	writeError(w, http.StatusBadRequest, answer)
+}
+
+func (c *Caller) writeTaskError(w http.ResponseWriter, err error) {
+	answer := dottermessage.ErrorAnswer{Outcome: dotteroutcome.NotRun, Error: err.Error()}
+	switch {
+	case errors.Is(err, dotterelusher.ErrTaskInvalid):
+		answer.Reason = "Invalid"
+		writeError(w, http.StatusBadRequest, answer)
+	case errors.Is(err, dotterelusher.ErrTaskNotFound):
+		answer.Reason = "NotFound"
+		writeError(w, http.StatusNotFound, answer)
+	case errors.Is(err, dotterelusher.ErrTaskRefused):
+		answer.Reason = "Refused"
+		answer.RetryAfterMillis = max(c.tasks.RetryAfter(), minRetryAfter)
+		writeError(w, http.StatusServiceUnavailable, answer)
+	default:
+		answer.Outcome = dotteroutcome.Unknown
+		answer.Reason = "Unknown"
+		answer.RetryAfterMillis = max(c.tasks.RetryAfter(), minRetryAfter)
+		writeError(w, http.StatusGatewayTimeout, answer)
+	}
+}
+
+// writeError writes the answer with its outcome and its Retry-After in whole seconds, rounded up.
+func writeError(w http.ResponseWriter, status int, answer dottermessage.ErrorAnswer) {
+	w.Header().Set(dotteroutcome.Header, string(answer.Outcome))
+	if answer.RetryAfterMillis > 0 {
+		seconds := (answer.RetryAfterMillis + dotterclock.Second - 1) / dotterclock.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeJSON(w, status, answer)
+}
+
+func writeDone(w http.ResponseWriter, status int, body any) {
+	w.Header().Set(dotteroutcome.Header, string(dotteroutcome.Done))
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	writeError(w, http.StatusNotFound, dottermessage.ErrorAnswer{
+		Outcome: dotteroutcome.NotRun, Reason: "NotFound", Error: "there is no " + r.Method + " " + r.URL.Path,
+	})
+}
+
+func healthz(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, struct{ Healthy bool }{true})
+}
+
+func writeReadiness(w http.ResponseWriter, reasons []string) {
+	status := http.StatusOK
+	if len(reasons) > 0 {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, struct{ NotReady []string }{reasons})
+}
--- /dev/null
+++ b/internal/tool/dottercommand/domain.go
@@ -0,0 +1,29 @@
+package dottercommand
+
+import "fmt"
+
+type domainCommand struct {
+	editing
+	Args struct {
+		Name string `positional-arg-name:"NAME" description:"name of the failure domain"`
+	} `positional-args:"yes" required:"yes"`
+	out bool
+}
+
+// Execute takes the failure domain out or brings it back.
+func (c *domainCommand) Execute([]string) error {
+	document, err := c.current()
+	if err != nil {
+		return err
+	}
+	before, ok := document.FailureDomain(c.Args.Name)
+	if !ok {
+		return fmt.Errorf("failure domain %q: %w", c.Args.Name, errNoSuch)
+	}
+	after := before
+	after.Out = c.out
+	if after == before {
+		return c.send()
+	}
+	return c.sendItem("FailureDomains/"+before.Name, before, after)
+}
--- /dev/null
+++ b/internal/tool/dottercommand/host.go
@@ -0,0 +1,25 @@
+package dottercommand
+
+type hostCommand struct {
+	editing
+	Args struct {
+		Name string `positional-arg-name:"HOST" description:"name of the worker or backend server"`
+	} `positional-args:"yes" required:"yes"`
+	drain bool
+}
+
+// Execute drains the host or ends its drain.
+func (c *hostCommand) Execute([]string) error {
+	document, err := c.current()
+	if err != nil {
+		return err
+	}
+	item := "Draining/" + c.Args.Name
+	switch {
+	case document.Drained(c.Args.Name) == c.drain:
+		return c.send()
+	case c.drain:
+		return c.sendItem(item, nil, c.Args.Name)
+	}
+	return c.sendItem(item, c.Args.Name, nil)
+}
