--- /dev/null
+++ b/internal/platform/dottermemory/change_log.go
@@ -0,0 +1,45 @@
+package dottermemory
+
+import (
+	"sort"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+)
+
+// changeLogLimit is the number of changes after which the older half is dropped.
+const changeLogLimit = 1 << 16
+
+// changeLog lists which key changed at which revision, oldest first. A reader
+// that asks for more than is kept falls back to a scan of all records.
+type changeLog struct {
+	changes []change
+	dropped dotterkey.Revision // changes up to this revision are no longer listed
+}
+
+type change struct {
+	revision dotterkey.Revision
+	key      string
+}
+
+func (l *changeLog) add(revision dotterkey.Revision, key string) {
+	l.changes = append(l.changes, change{revision, key})
+	if len(l.changes) < changeLogLimit {
+		return
+	}
+	half := len(l.changes) / 2
+	l.dropped = l.changes[half-1].revision
+	l.changes = append([]change(nil), l.changes[half:]...)
+}
+
+// since returns the keys changed after the revision, or false if they are no longer listed.
+func (l *changeLog) since(after dotterkey.Revision) (map[string]bool, bool) {
+	if after < l.dropped {
+		return nil, false
+	}
+	first := sort.Search(len(l.changes), func(i int) bool { return l.changes[i].revision > after })
+	keys := make(map[string]bool, len(l.changes)-first)
+	for _, c := range l.changes[first:] {
+		keys[c.key] = true
+	}
+	return keys, true
+}
