--- /dev/null
+++ b/internal/platform/dotterlist/doc.go
@@ -0,0 +1,2 @@
+// Package dotterlist reads the platform's host list over HTTP.
+package dotterlist
