--- /dev/null
+++ b/internal/placement/dotterplacer/queue.go
@@ -0,0 +1,98 @@
+package dotterplacer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+// class is the queued tasks of one rank and urgency, by team and age.
+type class struct {
+	rank   int
+	urgent bool
+	teams  []string
+	tasks  [][]int // positions in the queue, for each of teams
+}
+
+// add appends the queue's task at position to its team.
+func (c *class) add(team string, position int) {
+	at := slices.Index(c.teams, team)
+	if at < 0 {
+		at = len(c.teams)
+		c.teams = append(c.teams, team)
+		c.tasks = append(c.tasks, nil)
+	}
+	c.tasks[at] = append(c.tasks[at], position)
+}
+
+// remove takes the team at position out of c.
+func (c *class) remove(position int) {
+	c.teams = slices.Delete(c.teams, position, position+1)
+	c.tasks = slices.Delete(c.tasks, position, position+1)
+}
+
+// classify returns the queue's classes in the order in which they are served.
+func classify(queue []dottertask.Task) []*class {
+	var classes []*class
+	for i, t := range queue {
+		classOf(&classes, t).add(t.Team, i)
+	}
+	slices.SortFunc(classes, func(a, b *class) int {
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		if a.urgent {
+			return -1
+		}
+		return 1
+	})
+	return classes
+}
+
+func classOf(classes *[]*class, t dottertask.Task) *class {
+	for _, c := range *classes {
+		if c.rank == t.Rank && c.urgent == t.Urgent {
+			return c
+		}
+	}
+	c := &class{rank: t.Rank, urgent: t.Urgent}
+	*classes = append(*classes, c)
+	return c
+}
+
+// placeQueue places queued tasks by rank, urgency, fair share and age.
+func (r *round) placeQueue() {
+	for _, c := range classify(r.state.Queue) {
+		r.placeClass(c)
+	}
+}
+
+func (r *round) placeClass(c *class) {
+	for len(c.teams) > 0 && !r.full() {
+		first := r.shares.First(c.teams)
+		if !r.placeNext(c, first) {
+			c.remove(first)
+		}
+	}
+}
+
+// placeNext places the oldest task of a team that can be placed, or reports
+// that it has none.
+func (r *round) placeNext(c *class, team int) bool {
+	tasks := c.tasks[team]
+	for len(tasks) > 0 {
+		t := r.state.Queue[tasks[0]]
+		tasks = tasks[1:]
+		if r.place(t) {
+			c.tasks[team] = tasks
+			return true
+		}
+	}
+	return false
+}
+
+// full reports whether this round has made as many assignments as one Plan may.
+func (r *round) full() bool {
+	return len(r.plan.Assignments) >= r.placer.options.PlacementsPerPlan
+}
