--- a/internal/entry/dotterbudget/budget.go
+++ b/internal/entry/dotterbudget/budget.go
@@ -3,28 +3,25 @@
 import "sync/atomic"
 
 const (
-	unit        = 1000 // parts of one retry
-	earned      = 80   // parts that a first sending earns: 8%
-	most        = 10 * unit
-	atBeginning = 2 * unit
+	unit = 100       // parts of one retry, so that a percent is one part
+	most = 10 * unit // what can be saved up
 )
 
 // Budget counts the retries and hedges that may be made.
 type Budget struct {
-	parts atomic.Int64
+	percent int64
+	parts   atomic.Int64
 }
 
-// New returns a budget that allows a few retries at once.
-func New() *Budget {
-	b := &Budget{}
-	b.parts.Store(atBeginning)
-	return b
+// New returns a budget of percent retries for each hundred requests.
+func New(percent int) *Budget {
+	return &Budget{percent: int64(percent)}
 }
 
 // Earn takes in a request that is sent for the first time.
 func (b *Budget) Earn() {
 	if b.parts.Load() < most {
-		b.parts.Add(earned)
+		b.parts.Add(b.percent)
 	}
 }
 
--- a/internal/entry/dotterconnection/client.go
+++ b/internal/entry/dotterconnection/client.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &exchange{ctx: ctx, pool: p, connection: k, request: request, suspicion: p.currentSuspicion()}
+	e := &exchange{ctx: ctx, pool: p, connection: k, request: request}
 	return e.run()
 }
 
--- a/internal/entry/dotterconnection/connection.go
+++ b/internal/entry/dotterconnection/connection.go
@@ -36,7 +36,7 @@
 	writer    *bufio.Writer
 	permit    dotterelusher.Permit
 	sent      atomic.Int64 // bytes handed to the kernel
-	provenAt  int64        // the pool's suspicion that it has answered since
+	provenAt  int64        // the pool's count of suspicions when it answered last
 	idleSince dotterclock.Millis
 }
 
--- a/internal/entry/dotterconnection/exchange.go
+++ b/internal/entry/dotterconnection/exchange.go
@@ -20,7 +20,6 @@
 	pool       *pool
 	connection *connection
 	request    *http.Request
-	suspicion  int64
 	lift       func() bool
 	keep       bool // whether the server keeps the connection open
 }
@@ -54,7 +53,7 @@
 func (e *exchange) succeed() {
 	inForce := e.lift()
 	if inForce && e.keep {
-		e.pool.put(e.connection, e.suspicion)
+		e.pool.put(e.connection)
 		return
 	}
 	e.pool.client.background(func() { e.pool.retire(e.connection) })
--- a/internal/entry/dotterconnection/pool.go
+++ b/internal/entry/dotterconnection/pool.go
@@ -13,6 +13,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 )
 
+// probeLeadMillis is how long a request waits for a probe before it opens a new
+// connection.
+const probeLeadMillis dotterclock.Millis = 20
+
 // pool is the connections to one backend server.
 type pool struct {
 	client  *Client
@@ -43,10 +47,13 @@
 	limit := time.NewTimer(p.client.settings.DialMillis.Duration())
 	defer limit.Stop()
 	for {
-		k, freed := p.takeIdle()
+		k, freed, probed := p.takeIdle()
 		if k != nil {
 			return k, nil
 		}
+		if probed && p.awaitProbe(freed) {
+			continue
+		}
 		permit, ok := p.client.permits.Connection(p.name)
 		if ok {
 			return p.dial(ctx, permit)
@@ -61,9 +68,21 @@
 	}
 }
 
-// takeIdle returns an idle connection that may be used as it is, or nil; those
-// that need a probe first get one in the background.
-func (p *pool) takeIdle() (*connection, <-chan struct{}) {
+// awaitProbe waits a little for the answer to a probe, which comes as soon as a
+// new connection would, and reports whether a connection has become free.
+func (p *pool) awaitProbe(freed <-chan struct{}) bool {
+	select {
+	case <-freed:
+		return true
+	case <-p.client.clock.After(probeLeadMillis):
+		return false
+	}
+}
+
+// takeIdle returns an idle connection that may be used as it is, or nil. One
+// that needs a probe first gets it in the background; those under it were used
+// even earlier and stay where they are.
+func (p *pool) takeIdle() (k *connection, freed <-chan struct{}, probed bool) {
 	now := p.client.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,12 +96,13 @@
 			p.client.background(func() { p.retire(k) })
 		case p.doubtful(k, now):
 			p.probing++
-			p.client.background(func() { p.probe(k) })
+			p.client.background(func() { p.probeAll([]*connection{k}) })
+			return nil, p.freed, true
 		default:
-			return k, nil
+			return k, nil, false
 		}
 	}
-	return nil, p.freed
+	return nil, p.freed, false
 }
 
 func (p *pool) doubtful(k *connection, now dotterclock.Millis) bool {
@@ -90,26 +110,20 @@
 }
 
 func (p *pool) dial(ctx context.Context, permit dotterelusher.Permit) (*connection, error) {
-	p.mu.Lock()
-	suspicion := p.suspicion
-	p.mu.Unlock()
 	c, err := p.client.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		permit.Release()
 		p.signal()
 		return nil, eris.Wrapf(dotterelusher.ErrBackendNotSent, "dial %s: %v", p.address, err)
 	}
-	k := newConnection(c, permit)
-	k.provenAt = suspicion
-	return k, nil
+	return newConnection(c, permit), nil
 }
 
-// put takes k back after a whole answer; suspicion is what the pool's was when
-// the request was sent.
-func (p *pool) put(k *connection, suspicion int64) {
-	k.provenAt = suspicion
+// put takes k back after a whole answer.
+func (p *pool) put(k *connection) {
 	k.idleSince = p.client.clock.Now()
 	p.mu.Lock()
+	k.provenAt = p.suspicion
 	keep := !p.closed && !k.withdrawn() && k.reader.Buffered() == 0
 	if keep {
 		p.idle = append(p.idle, k)
@@ -121,20 +135,46 @@
 	}
 }
 
-// probe asks for the server's health over k and takes it back when it answers.
-func (p *pool) probe(k *connection) {
-	p.mu.Lock()
-	suspicion := p.suspicion
-	p.mu.Unlock()
-	alive := p.answersProbe(k)
-	p.mu.Lock()
-	p.probing--
-	p.mu.Unlock()
-	if alive {
-		p.put(k, suspicion)
+// probeAll probes connections one after the other, so that it takes one slot at
+// most: a server may count a probe as a request. Once one does not answer, the
+// others are given up too.
+func (p *pool) probeAll(connections []*connection) {
+	defer p.probed(len(connections))
+	for i, k := range connections {
+		if p.probe(k) {
+			continue
+		}
+		for _, other := range connections[i+1:] {
+			p.client.background(func() { p.retire(other) })
+		}
 		return
 	}
-	p.abandon(k)
+}
+
+// probe asks for the server's health over k, takes k back when it answers, and
+// reports whether it did. Without a slot k is given up.
+func (p *pool) probe(k *connection) bool {
+	slot, ok := p.client.permits.Slot(p.name)
+	if !ok {
+		p.client.background(func() { p.retire(k) })
+		return false
+	}
+	if p.answersProbe(k) {
+		slot.Release()
+		p.put(k)
+		return true
+	}
+	p.client.background(func() {
+		p.abandon(k)
+		slot.Release()
+	})
+	return false
+}
+
+func (p *pool) probed(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing -= count
 }
 
 func (p *pool) answersProbe(k *connection) bool {
@@ -154,17 +194,19 @@
 	return !response.Close
 }
 
-// suspect makes every other connection to the server be probed before use.
+// suspect has the idle connections probed now, and those that are busy before
+// their next use unless their own request is answered first.
 func (p *pool) suspect() {
-	p.mu.Lock()
-	p.suspicion++
-	p.mu.Unlock()
-}
-
-func (p *pool) currentSuspicion() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.suspicion
+	p.suspicion++
+	if len(p.idle) == 0 {
+		return
+	}
+	idle := p.idle
+	p.idle = nil
+	p.probing += len(idle)
+	p.client.background(func() { p.probeAll(idle) })
 }
 
 // retire closes k and gives its permit back once the server has closed too.
--- a/internal/entry/dotterexchange/exchanger.go
+++ b/internal/entry/dotterexchange/exchanger.go
@@ -19,13 +19,15 @@
 
 // Options is what an Exchanger works with.
 type Options struct {
-	Clock       dotterelusher.Clock
-	Backend     dotterelusher.BackendClient
-	Services    *dotterservice.Services
-	Forwarder   *Forwarder
-	Meter       *dottermeter.Meter
-	Log         *zap.Logger
-	BufferBytes int // answers up to this size are received whole before they are passed on
+	Clock     dotterelusher.Clock
+	Backend   dotterelusher.BackendClient
+	Services  *dotterservice.Services
+	Forwarder *Forwarder
+	Meter     *dottermeter.Meter
+	Log       *zap.Logger
+
+	BufferBytes  int // answers up to this size are received whole before they are passed on
+	RetryPercent int // retries and hedges together, for each hundred requests
 }
 
 // Exchanger carries requests to backend servers.
@@ -36,7 +38,7 @@
 
 // New returns an exchanger.
 func New(options Options) *Exchanger {
-	return &Exchanger{options: options, budget: dotterbudget.New()}
+	return &Exchanger{options: options, budget: dotterbudget.New(options.RetryPercent)}
 }
 
 // Do returns the answer to request, or the refusal that is final. The answer
--- a/internal/entry/dotterproxy/limits.go
+++ b/internal/entry/dotterproxy/limits.go
@@ -17,6 +17,7 @@
 	InProgress           int                // requests in progress, 1 to 100000
 	QueueItems           int                // requests that wait for a slot, for each template, 1 to 10000
 	QueueWaitMillis      dotterclock.Millis // longest wait for a slot, 1 to 10000
+	RetryPercent         int                // retries and hedges for each hundred requests, 0 to 100
 	TimeoutMillis        dotterclock.Millis // deadline where neither request nor template sets one, 10 to 600000
 	LongestTimeoutMillis dotterclock.Millis // most that a request may ask for, 10 to 3600000
 }
@@ -30,6 +31,7 @@
 		InProgress:           4096,
 		QueueItems:           256,
 		QueueWaitMillis:      500,
+		RetryPercent:         8,
 		TimeoutMillis:        10 * dotterclock.Second,
 		LongestTimeoutMillis: 300 * dotterclock.Second,
 	}
@@ -59,6 +61,7 @@
 		{"InProgress", int64(l.InProgress), 1, 100_000},
 		{"QueueItems", int64(l.QueueItems), 1, 10_000},
 		{"QueueWaitMillis", int64(l.QueueWaitMillis), 1, 10_000},
+		{"RetryPercent", int64(l.RetryPercent), 0, 100},
 		{"TimeoutMillis", int64(l.TimeoutMillis), 10, 600_000},
 		{"LongestTimeoutMillis", int64(l.LongestTimeoutMillis), 10, 3_600_000},
 	}
--- a/internal/entry/dotterproxy/proxy.go
+++ b/internal/entry/dotterproxy/proxy.go
@@ -99,9 +99,10 @@
 			Configuration: o.Configuration,
 			Client:        peers,
 		}),
-		Meter:       p.meter,
-		Log:         o.Log,
-		BufferBytes: o.Limits.AnswerBufferBytes,
+		Meter:        p.meter,
+		Log:          o.Log,
+		BufferBytes:  o.Limits.AnswerBufferBytes,
+		RetryPercent: o.Limits.RetryPercent,
 	})
 }
 
@@ -111,6 +112,12 @@
 	return p.gate.drain(ctx)
 }
 
+// FreeSlots returns the slots that this host could use now for requests of
+// other hosts, over all services.
+func (p *Proxy) FreeSlots() int {
+	return p.services.FreeSlots()
+}
+
 // Close closes the connections; it is called after Drain.
 func (p *Proxy) Close() error {
 	var first error
--- a/internal/entry/dotterservice/service.go
+++ b/internal/entry/dotterservice/service.go
@@ -103,6 +103,20 @@
 	return s.queue.Len()
 }
 
+// FreeSlots returns the free slots that no request waits for.
+func (s *Service) FreeSlots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	free := 0
+	for _, v := range s.servers {
+		if v.free(now) {
+			free += v.usable - v.inFlight
+		}
+	}
+	return max(0, free-s.queue.Len())
+}
+
 // SlowAfter returns the latency that few requests pass.
 func (s *Service) SlowAfter() dotterclock.Millis {
 	s.mu.Lock()
--- a/internal/entry/dotterservice/services.go
+++ b/internal/entry/dotterservice/services.go
@@ -62,6 +62,17 @@
 	return waiting
 }
 
+// FreeSlots returns the free slots that no request waits for.
+func (s *Services) FreeSlots() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	free := 0
+	for _, v := range s.services {
+		free += v.FreeSlots()
+	}
+	return free
+}
+
 // Close ends the updates.
 func (s *Services) Close() error {
 	s.life.Kill(nil)
