Stand-in: the platform in one process, with faults and ground truth

Cause: nothing could be run end to end without a platform. Change: cmd/standin over internal/standin: store over HTTP with call counts, lagging host list, workers with clocks of their own, backend servers, faults by control calls, and the truth about who ran what and when. Ruled out: letting a backend server refuse what is over its slots; it serves and counts, so that a broken promise shows instead of being absorbed. A run whose lease is over counts as ended in the truth even before the worker's next 10 ms step ends it, or a busy machine would show violations that aren't.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,99 @@
+// Command standin runs a small stand-in for the platform on loopback: store,
+// host list, workers and backend servers in one process. Once it serves, it
+// prints one JSON line with all addresses; it ends on SIGTERM or SIGINT, or
+// after --run-for.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterplatform"
+)
+
+type options struct {
+	Domains      []string `long:"domain" value-name:"NAME" description:"failure domain; may be given several times (default: a, b, c)"`
+	Workers      int      `long:"workers" default:"8" description:"workers in each failure domain, 8 to a rack"`
+	MilliCores   int64    `long:"worker-millicores" default:"64000" description:"processors of a worker, in thousandths of a core"`
+	MemoryMB     int64    `long:"worker-memory" default:"250000" description:"memory of a worker, in MB"`
+	Accelerators int64    `long:"worker-accelerators" default:"1" description:"accelerators of a worker"`
+	Services     []string `long:"service" value-name:"NAME=KIND:MS" description:"service and the time of its requests, KIND fixed or exponential; may be given several times (default: echo=exponential:5)"`
+	Backends     int      `long:"backends" default:"4" description:"backend servers of each service in each failure domain"`
+	Slots        int      `long:"slots" default:"8" description:"requests that a backend server takes at a time"`
+	Connections  int      `long:"connections" default:"64" description:"connections that a backend server takes at a time"`
+	ListLag      int64    `long:"list-lag" default:"1000" value-name:"MS" description:"lag of the host list, in ms"`
+	UsageEvery   int64    `long:"usage-every" default:"500" value-name:"MS" description:"time between two samples of an attempt, in ms"`
+	UsageLag     int64    `long:"usage-lag" default:"2000" value-name:"MS" description:"lag of usage reports, in ms"`
+	ClockOffset  int64    `long:"clock-offset" default:"5000" value-name:"MS" description:"largest error of a worker's own clock, in ms"`
+	Listen       string   `long:"listen" default:"127.0.0.1:0" value-name:"IP:PORT" description:"address of store, host list, control and truth"`
+	Seed         uint64   `long:"seed" default:"1" description:"seed of service times, clock errors and chance faults"`
+	RunFor       int64    `long:"run-for" default:"3600" value-name:"S" description:"ends by itself after this time, in seconds"`
+}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	var o options
+	_, err := flags.Parse(&o)
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		return nil
+	}
+	if err != nil {
+		os.Exit(2) // go-flags has said why
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	platform, err := dotterplatform.Open(o.platform())
+	if err != nil {
+		return err
+	}
+	defer platform.Close()
+	if err := json.NewEncoder(os.Stdout).Encode(platform.Ready()); err != nil {
+		return err
+	}
+	select {
+	case <-signals:
+	case <-time.After(time.Duration(o.RunFor) * time.Second):
+	}
+	return nil
+}
+
+// platform returns what the flags ask for, defaults filled in.
+func (o options) platform() dotterplatform.Options {
+	if len(o.Domains) == 0 {
+		o.Domains = []string{"a", "b", "c"}
+	}
+	if len(o.Services) == 0 {
+		o.Services = []string{"echo=exponential:5"}
+	}
+	return dotterplatform.Options{
+		FailureDomains:     o.Domains,
+		Workers:            o.Workers,
+		Room:               dotterroom.Room{MilliCores: o.MilliCores, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators},
+		Services:           o.Services,
+		Backends:           o.Backends,
+		Slots:              o.Slots,
+		Connections:        o.Connections,
+		ListLag:            dotterclock.Millis(o.ListLag),
+		UsageEvery:         dotterclock.Millis(o.UsageEvery),
+		UsageLag:           dotterclock.Millis(o.UsageLag),
+		LargestClockOffset: dotterclock.Millis(o.ClockOffset),
+		Listen:             o.Listen,
+		Seed:               o.Seed,
+	}
+}
--- /dev/null
+++ b/internal/standin/dotterplatform/options.go
@@ -0,0 +1,57 @@
+package dotterplatform
+
+import (
+	"fmt"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// rackSize is the number of workers in a rack.
+const rackSize = 8
+
+// Options says what the platform consists of.
+type Options struct {
+	FailureDomains     []string
+	Workers            int // in each failure domain
+	Room               dotterroom.Room
+	Services           []string // as dotterstandbackend.ParseService reads them
+	Backends           int      // of each service in each failure domain
+	Slots              int
+	Connections        int
+	ListLag            dotterclock.Millis
+	UsageEvery         dotterclock.Millis
+	UsageLag           dotterclock.Millis
+	LargestClockOffset dotterclock.Millis // of a worker's own clock, either way
+	Listen             string             // IP:port of the platform; port 0 lets the kernel choose
+	Seed               uint64
+}
+
+func (o Options) worker(domain string, index int) dotterhost.Host {
+	return dotterhost.Host{
+		Name:          fmt.Sprintf("%s-w%02d", domain, index+1),
+		Address:       "127.0.0.1:0",
+		FailureDomain: domain,
+		Rack:          fmt.Sprintf("%s-r%d", domain, index/rackSize+1),
+		Role:          dotterhost.RoleWorker,
+		State:         dotterhost.StateLive,
+		Incarnation:   1,
+		Capacity:      o.Room,
+	}
+}
+
+func (o Options) backend(domain, service string, index int) dotterhost.Host {
+	return dotterhost.Host{
+		Name:          fmt.Sprintf("%s-%s-%d", domain, service, index+1),
+		Address:       "127.0.0.1:0",
+		FailureDomain: domain,
+		Rack:          fmt.Sprintf("%s-s%d", domain, index/rackSize+1),
+		Role:          dotterhost.RoleBackend,
+		State:         dotterhost.StateLive,
+		Incarnation:   1,
+		Service:       service,
+		Slots:         o.Slots,
+		Connections:   o.Connections,
+	}
+}
--- /dev/null
+++ b/internal/standin/dotterplatform/truth_routes.go
@@ -0,0 +1,39 @@
+package dotterplatform
+
+import (
+	"net/http"
+
+	"github.com/rotisserie/eris"
+	"goji.io"
+	"goji.io/pat"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/platform/dotterwire"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
+)
+
+// errNoHost means that a control call names a host that isn't there.
+var errNoHost = eris.New("stand-in: there is no such host")
+
+func (p *Platform) registerTruth(mux *goji.Mux) {
+	mux.HandleFunc(pat.Get(dottertruth.PathTruth), func(w http.ResponseWriter, _ *http.Request) {
+		dotterwire.Answer(w, p.recorder.Truth())
+	})
+	mux.HandleFunc(pat.Get(dottertruth.PathExecutions), func(w http.ResponseWriter, _ *http.Request) {
+		dotterwire.Answer(w, p.recorder.Executions())
+	})
+	mux.HandleFunc(pat.Post(dottertruth.PathReset), func(w http.ResponseWriter, _ *http.Request) {
+		p.recorder.Reset()
+		dotterwire.Answer(w, struct{}{})
+	})
+}
+
+// ownHost returns the worker or backend server called name.
+func (p *Platform) ownHost(name string) (dotterhost.Host, bool) {
+	for _, h := range p.hosts() {
+		if h.Name == name {
+			return h, true
+		}
+	}
+	return dotterhost.Host{}, false
+}
--- /dev/null
+++ b/internal/standin/dotterstandbackend/server.go
@@ -0,0 +1,159 @@
+package dotterstandbackend
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/platform/dotterwire"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterendpoint"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterfault"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
+)
+
+// bodyLimit is the largest request body that a server reads, in bytes.
+const bodyLimit = 16 << 20
+
+// Server is one backend server.
+type Server struct {
+	host     dotterhost.Host
+	service  *Service
+	recorder *dottertruth.Recorder
+	endpoint *dotterendpoint.Endpoint
+	gate     dotterendpoint.Gate
+
+	mu    sync.Mutex
+	fault dotterfault.Backend
+}
+
+// New returns a server that listens at host.Address when it is opened.
+func New(host dotterhost.Host, service *Service, recorder *dottertruth.Recorder) *Server {
+	s := &Server{host: host, service: service, recorder: recorder}
+	s.endpoint = dotterendpoint.New(host.Address, http.HandlerFunc(s.serve), s.track)
+	recorder.AddBackend(host)
+	return s
+}
+
+// Open starts serving.
+func (s *Server) Open() error {
+	return s.endpoint.Open()
+}
+
+// Close stops serving and cuts every connection.
+func (s *Server) Close() {
+	s.gate.Set(false)
+	s.endpoint.Close()
+}
+
+// Silence makes the connections that are open now go silent for good.
+func (s *Server) Silence() {
+	s.endpoint.Silence()
+}
+
+// Host returns the server's row for the host list.
+func (s *Server) Host() dotterhost.Host {
+	host := s.host
+	host.Address = s.endpoint.Address()
+	return host
+}
+
+// SetFault replaces what is wrong with the server.
+func (s *Server) SetFault(fault dotterfault.Backend) error {
+	s.mu.Lock()
+	s.fault = fault
+	s.mu.Unlock()
+	s.gate.Set(fault.Frozen)
+	if fault.Dead {
+		s.endpoint.Close()
+		return nil
+	}
+	return s.endpoint.Open()
+}
+
+func (s *Server) track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.recorder.Connections(s.host.Name, 1)
+	case http.StateClosed, http.StateHijacked:
+		s.recorder.Connections(s.host.Name, -1)
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if !s.gate.Wait(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
+	fault := s.nextFault()
+	if fault.Leaving {
+		w.Header().Set(dotterwire.HeaderLeaving, "true")
+	}
+	if fault.Refusals != 0 {
+		s.recorder.RefuseRequest(s.host.Name)
+		dotterwire.Refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get(dotterwire.HeaderRequest)
+	execution := s.recorder.StartRequest(s.host.Name, id)
+	body, err := s.execute(r, fault)
+	s.recorder.EndRequest(execution)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(fault.LateMillis.Duration())
+	s.answer(w, fault, id, body)
+}
+
+// execute reads the request and works on it, and stands still while the server is frozen.
+func (s *Server) execute(r *http.Request, fault dotterfault.Backend) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
+	factor := fault.SlowFactor
+	if factor == 0 {
+		factor = 1
+	}
+	time.Sleep(s.service.Span(factor))
+	s.gate.Wait(r.Context())
+	return body, err
+}
+
+func (s *Server) answer(w http.ResponseWriter, fault dotterfault.Backend, id string, body []byte) {
+	content := append([]byte(id+"\n"), body...)
+	if fault.PadBytes > 0 {
+		content = append(content, make([]byte, fault.PadBytes)...)
+	}
+	w.Header().Set(dotterwire.HeaderRequest, id)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	if fault.Failures != 0 {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if fault.HalfAnswers != 0 {
+		w.Write(content[:len(content)/2])
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(content)
+}
+
+// nextFault returns what befalls the next request and counts it down.
+func (s *Server) nextFault() dotterfault.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	befalls := s.fault
+	countDown(&s.fault.Refusals)
+	if befalls.Refusals != 0 {
+		return befalls
+	}
+	countDown(&s.fault.HalfAnswers)
+	countDown(&s.fault.Failures)
+	return befalls
+}
+
+func countDown(count *int) {
+	if *count > 0 {
+		*count--
+	}
+}
--- /dev/null
+++ b/internal/standin/dotterstandworker/commands.go
@@ -0,0 +1,194 @@
+package dotterstandworker
+
+import (
+	"sort"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterattempt"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
+)
+
+// Reasons for which a worker refuses a command.
+const (
+	RefusedEpoch  = "the epoch is older than one seen before"
+	RefusedLate   = "the start came too late"
+	RefusedRoom   = "there is no room"
+	RefusedEnded  = "the attempt has ended"
+	RefusedFault  = "the worker refuses every start"
+	RefusedAbsent = "there is no such attempt"
+)
+
+// Start runs an attempt; repeating it for the same attempt changes nothing.
+func (w *Worker) Start(start dotterattempt.Start) dotterattempt.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tick()
+	if !w.takeEpoch(start.Shard, start.Epoch) {
+		return w.refuse(start.Shard, RefusedEpoch)
+	}
+	if a, ok := w.attempts[start.Ref]; ok {
+		return w.report(start.Shard, a)
+	}
+	if reason := w.refusal(start); reason != "" {
+		return w.refuse(start.Shard, reason)
+	}
+	a := newAttempt(start, w.now())
+	a.run = w.recorder.StartRun(w.host.Name, start, a.behaviour.Work(start), w.platformTime(a.leaseUntil))
+	w.attempts[start.Ref] = a
+	return w.report(start.Shard, a)
+}
+
+// Renew renews leases, acknowledges ends, and returns the shard's attempts and usage.
+func (w *Worker) Renew(renewal dotterattempt.Renewal) dotterattempt.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tick()
+	if !w.takeEpoch(renewal.Shard, renewal.Epoch) {
+		return w.refuse(renewal.Shard, RefusedEpoch)
+	}
+	until := w.now() + renewal.Lease
+	for _, ref := range renewal.Attempts {
+		if a, ok := w.attempts[ref]; ok && a.running() {
+			a.leaseUntil = until
+			w.recorder.ExtendRun(a.run, w.platformTime(until))
+		}
+	}
+	for _, ref := range renewal.Ended {
+		if a, ok := w.attempts[ref]; ok && !a.running() {
+			delete(w.attempts, ref)
+		}
+	}
+	report := w.report(renewal.Shard, w.ofShard(renewal.Shard)...)
+	report.Usage = w.takeUsage(renewal.Shard)
+	return report
+}
+
+// Checkpoint saves the attempt's progress and ends it as Checkpointed.
+func (w *Worker) Checkpoint(order dotterattempt.Order) dotterattempt.Report {
+	return w.order(order, func(a *attempt) {
+		a.save()
+		w.finish(a, dotterattempt.PhaseCheckpointed, "")
+	})
+}
+
+// Throttle limits the attempt to order.Percent of its processor time.
+func (w *Worker) Throttle(order dotterattempt.Order) dotterattempt.Report {
+	return w.order(order, func(a *attempt) {
+		a.percent = min(max(order.Percent, 1), 100)
+	})
+}
+
+// Stop ends the attempt as Stopped.
+func (w *Worker) Stop(order dotterattempt.Order) dotterattempt.Report {
+	return w.order(order, func(a *attempt) {
+		w.finish(a, dotterattempt.PhaseStopped, "")
+	})
+}
+
+// Inventory raises the epoch of the shard and returns all its attempts.
+func (w *Worker) Inventory(shard string, epoch int64) dotterattempt.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tick()
+	if !w.takeEpoch(shard, epoch) {
+		return w.refuse(shard, RefusedEpoch)
+	}
+	return w.report(shard, w.ofShard(shard)...)
+}
+
+// order does something with a running attempt; for an ended one it only reports.
+func (w *Worker) order(order dotterattempt.Order, do func(*attempt)) dotterattempt.Report {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tick()
+	if !w.takeEpoch(order.Shard, order.Epoch) {
+		return w.refuse(order.Shard, RefusedEpoch)
+	}
+	a, ok := w.attempts[order.Ref]
+	if !ok {
+		return w.refuse(order.Shard, RefusedAbsent)
+	}
+	if a.running() {
+		do(a)
+	}
+	return w.report(order.Shard, a)
+}
+
+// refusal returns why a new attempt can't start, or "". The caller holds mu.
+func (w *Worker) refusal(start dotterattempt.Start) string {
+	switch {
+	case w.finished[start.Ref]:
+		return RefusedEnded
+	case w.fault.RefuseStarts:
+		return RefusedFault
+	case w.now() > start.LatestStart:
+		w.recorder.Refused(w.host.Name, func(t *dottertruth.Worker) { t.TooLate++ })
+		return RefusedLate
+	case !w.held().Add(start.Size).Fits(w.host.Capacity):
+		w.recorder.Refused(w.host.Name, func(t *dottertruth.Worker) { t.WithoutRoom++ })
+		return RefusedRoom
+	}
+	return ""
+}
+
+// takeEpoch takes in the epoch of a command, or reports that it is older than
+// one seen before. The caller holds mu.
+func (w *Worker) takeEpoch(shard string, epoch int64) bool {
+	if epoch < w.epochs[shard] {
+		w.recorder.Refused(w.host.Name, func(t *dottertruth.Worker) { t.OldEpoch++ })
+		return false
+	}
+	w.epochs[shard] = epoch
+	return true
+}
+
+// takeUsage returns the shard's samples that are old enough to be reported, once. The caller holds mu.
+func (w *Worker) takeUsage(shard string) []dotterattempt.Usage {
+	newest := w.now() - w.options.UsageLag
+	var due, kept []dotterattempt.Usage
+	for _, u := range w.usage {
+		if u.Shard == shard && u.At <= newest {
+			due = append(due, u)
+			continue
+		}
+		kept = append(kept, u)
+	}
+	w.usage = kept
+	return due
+}
+
+// ofShard returns the shard's attempts, ordered by task and number. The caller holds mu.
+func (w *Worker) ofShard(shard string) []*attempt {
+	var found []*attempt
+	for _, a := range w.attempts {
+		if a.start.Shard == shard {
+			found = append(found, a)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool {
+		if found[i].start.Task != found[j].start.Task {
+			return found[i].start.Task < found[j].start.Task
+		}
+		return found[i].start.Attempt < found[j].start.Attempt
+	})
+	return found
+}
+
+func (w *Worker) refuse(shard, reason string) dotterattempt.Report {
+	report := w.report(shard)
+	report.Refused = reason
+	return report
+}
+
+// report returns an answer about the attempts. The caller holds mu.
+func (w *Worker) report(shard string, attempts ...*attempt) dotterattempt.Report {
+	report := dotterattempt.Report{
+		Worker:      w.host.Name,
+		Incarnation: w.incarnation,
+		Clock:       w.now(),
+		Epoch:       w.epochs[shard],
+	}
+	for _, a := range attempts {
+		report.Attempts = append(report.Attempts, a.status())
+	}
+	return report
+}
--- /dev/null
+++ b/internal/standin/dottertruth/calls.go
@@ -0,0 +1,13 @@
+package dottertruth
+
+// Calls counts the calls of the store.
+type Calls struct {
+	ByKind   map[string]int            // Get, List, Put, Delete, Watch, Grant, Renew, Revoke
+	ByClient map[string]map[string]int // entry host, then kind
+	BytesIn  int64
+	BytesOut int64
+}
+
+func newCalls() Calls {
+	return Calls{ByKind: map[string]int{}, ByClient: map[string]map[string]int{}}
+}
--- /dev/null
+++ b/internal/standin/dottertruth/execution.go
@@ -0,0 +1,11 @@
+package dottertruth
+
+import "github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+
+// Execution is one run of a request on a backend server.
+type Execution struct {
+	Request   string
+	Backend   string
+	StartedAt dotterclock.Millis
+	EndedAt   dotterclock.Millis `json:",omitempty"`
+}
