Testing: a harness that runs the programs as processes on loopback

Backend servers of the stand-in answer probes. Ruled out: ports of 127.0.0.1 reserved by listening and closing, since an outgoing connection can take one before the daemon listens; each entry host has a loopback address of its own.

--- a/internal/standin/dotterstandbackend/server.go
+++ b/internal/standin/dotterstandbackend/server.go
@@ -15,6 +15,9 @@
 	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
 )
 
+// HealthPath is the path whose GET answers a probe without taking a slot.
+const HealthPath = "/healthz"
+
 // bodyLimit is the largest request body that a server reads, in bytes.
 const bodyLimit = 16 << 20
 
@@ -87,6 +90,10 @@
 	if !s.gate.Wait(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
+	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+		dotterwire.Answer(w, struct{}{})
+		return
+	}
 	fault := s.nextFault()
 	if fault.Leaving {
 		w.Header().Set(dotterwire.HeaderLeaving, "true")
--- /dev/null
+++ b/internal/testing/dotterharness/entry_host.go
@@ -0,0 +1,111 @@
+package dotterharness
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
+)
+
+// EntryHost is an entry host of a cluster, whether its daemon runs or not.
+type EntryHost struct {
+	Settings dottersettings.Settings
+	*Process // of its newest daemon
+
+	directory   string
+	incarnation int64
+	peers       *relay
+	callers     *relay
+}
+
+// newEntryHost reserves the addresses of an entry host on the loopback address ip.
+func newEntryHost(settings dottersettings.Settings, ip, directory string, accept func(net.Conn) *link) (*EntryHost, error) {
+	h := &EntryHost{Settings: settings, directory: directory}
+	for _, address := range []*string{&h.Settings.CallerListen, &h.Settings.PeerListen, &h.Settings.OperatorListen} {
+		var err error
+		if *address, err = reserve(ip); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if h.peers, err = newRelay(ip+":0", h.Settings.PeerListen, accept); err != nil {
+		return nil, err
+	}
+	if h.callers, err = newRelay(ip+":0", h.Settings.CallerListen, accept); err != nil {
+		h.peers.close()
+		return nil, err
+	}
+	h.Settings.PeerAdvertise = h.peers.address()
+	h.Settings.CallerAdvertise = h.callers.address()
+	return h, nil
+}
+
+// Name returns the entry host's name.
+func (h *EntryHost) Name() string {
+	return h.Settings.Host
+}
+
+// LogPath returns the file that holds what the daemons of this host wrote.
+func (h *EntryHost) LogPath() string {
+	return filepath.Join(h.directory, h.Name()+".log")
+}
+
+// Row returns the entry host's row for the host list.
+func (h *EntryHost) Row() dotterhost.Host {
+	return dotterhost.Host{
+		Name:          h.Name(),
+		Address:       h.Settings.PeerAdvertise,
+		FailureDomain: h.Settings.FailureDomain,
+		Role:          dotterhost.RoleEntry,
+		State:         dotterhost.StateLive,
+		Incarnation:   h.incarnation,
+	}
+}
+
+// start starts the daemon at the host's addresses.
+func (h *EntryHost) start() error {
+	content, err := json.MarshalIndent(h.Settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(h.directory, h.Name()+".jsonc")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(h.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	h.incarnation++
+	h.Process, err = startProcess("dotterelusherd", []string{"--settings", path}, log, log)
+	return err
+}
+
+// close ends the daemon and the relays.
+func (h *EntryHost) close() {
+	if h.Process != nil {
+		h.Kill()
+	}
+	h.peers.close()
+	h.callers.close()
+}
+
+// reserve returns an address on ip with a port that the kernel chose.
+func reserve(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func newBody(content []byte) io.Reader {
+	return bytes.NewReader(content)
+}
