--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -5,19 +5,24 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/platform/dotterwire"
 	"github.com/dotterelusher/dotterelusher/internal/standin/dotterplatform"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
 )
 
 type options struct {
@@ -36,6 +41,8 @@
 	ClockOffset  int64    `long:"clock-offset" default:"5000" value-name:"MS" description:"largest error of a worker's own clock, in ms"`
 	Listen       string   `long:"listen" default:"127.0.0.1:0" value-name:"IP:PORT" description:"address of store, host list, control and truth"`
 	Seed         uint64   `long:"seed" default:"1" description:"seed of service times, clock errors and chance faults"`
+	Entries      []string `long:"entry" value-name:"NAME=DOMAIN@IP:PORT" description:"entry host that the host list shows from the start; may be given several times"`
+	Truth        string   `long:"truth" value-name:"IP:PORT" description:"prints what the stand-in at this address saw, and ends"`
 	RunFor       int64    `long:"run-for" default:"3600" value-name:"S" description:"ends by itself after this time, in seconds"`
 }
 
@@ -56,9 +63,16 @@
 	if err != nil {
 		os.Exit(2) // go-flags has said why
 	}
+	if o.Truth != "" {
+		return showTruth(o.Truth)
+	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	platform, err := dotterplatform.Open(o.platform())
+	entries, err := o.entries()
+	if err != nil {
+		return err
+	}
+	platform, err := dotterplatform.Open(o.platform(entries))
 	if err != nil {
 		return err
 	}
@@ -74,7 +88,7 @@
 }
 
 // platform returns what the flags ask for, defaults filled in.
-func (o options) platform() dotterplatform.Options {
+func (o options) platform(entries []dotterhost.Host) dotterplatform.Options {
 	if len(o.Domains) == 0 {
 		o.Domains = []string{"a", "b", "c"}
 	}
@@ -83,6 +97,7 @@
 	}
 	return dotterplatform.Options{
 		FailureDomains:     o.Domains,
+		Entries:            entries,
 		Workers:            o.Workers,
 		Room:               dotterroom.Room{MilliCores: o.MilliCores, MemoryMB: o.MemoryMB, Accelerators: o.Accelerators},
 		Services:           o.Services,
@@ -97,3 +112,34 @@
 		Seed:               o.Seed,
 	}
 }
+
+// entries returns the rows of the entry hosts.
+func (o options) entries() ([]dotterhost.Host, error) {
+	var hosts []dotterhost.Host
+	for _, text := range o.Entries {
+		name, rest, named := strings.Cut(text, "=")
+		domain, address, placed := strings.Cut(rest, "@")
+		if !named || !placed {
+			return nil, fmt.Errorf("--entry %q is not NAME=DOMAIN@IP:PORT", text)
+		}
+		hosts = append(hosts, dotterhost.Host{
+			Name:          name,
+			Address:       address,
+			FailureDomain: domain,
+			Role:          dotterhost.RoleEntry,
+			State:         dotterhost.StateLive,
+			Incarnation:   1,
+		})
+	}
+	return hosts, nil
+}
+
+// showTruth prints what the stand-in at address saw.
+func showTruth(address string) error {
+	var truth dottertruth.Truth
+	url := "http://" + address + dottertruth.PathTruth
+	if err := dotterwire.Fetch(context.Background(), dotterwire.NewClient(), url, "standin", &truth); err != nil {
+		return err
+	}
+	return truth.WriteSummary(os.Stdout)
+}
