--- /dev/null
+++ b/internal/cluster/dotterpeer/mesh.go
@@ -0,0 +1,396 @@
+package dotterpeer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log"
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
+
+// Pace of heartbeats.
+const (
+	// BeatPeriod is the span between two heartbeats within a failure domain.
+	BeatPeriod = dotterclock.Second
+	// silentBeats is the number of periods after which a link without heartbeats is closed.
+	silentBeats = 3
+	// beatBytes is the size of a heartbeat that tells of no change.
+	beatBytes = 64
+	// beatBudget is the number of bytes a second that heartbeats to other
+	// failure domains may cost, sent and received.
+	beatBudget = 3000
+	// dialPeriod is the span between two looks at which addresses are to be dialled.
+	dialPeriod = 100 * dotterclock.Millis(1)
+	// handshakeTimeout bounds dialling and the exchange of identities.
+	handshakeTimeout = 2 * dotterclock.Second
+	// linkLimit is the most links at a time, and the most addresses dialled.
+	linkLimit = 1024
+)
+
+// ErrMeshListen means that the address for links can't be bound.
+var ErrMeshListen = eris.New("peer: can't listen")
+
+var _ dotterelusher.Peers = (*Mesh)(nil)
+
+// Mesh is this entry host's links to the others.
+type Mesh struct {
+	self     Identity
+	seeds    []string
+	clock    dotterelusher.Clock
+	logger   *zap.Logger
+	metrics  *Metrics
+	listener net.Listener
+	handlers map[string]dotterelusher.PeerHandler
+	watchers []func(PeerState)
+	tomb     tomb.Tomb
+
+	mu      sync.Mutex
+	links   map[string]*link // by name
+	open    int              // connections, those not yet identified included
+	targets map[string]*target
+	state   State
+}
+
+// New binds the address for links, or returns ErrMeshListen. Nothing is
+// accepted or dialled before Start.
+//
+// The address stays bound until Stop: that another process could bind it is
+// taken as proof that this one is gone, so Stop comes after the last request.
+func New(settings Settings, clock dotterelusher.Clock, logger *zap.Logger, metrics *Metrics) (*Mesh, error) {
+	listener, err := net.Listen("tcp", settings.Identity.Address)
+	if err != nil {
+		return nil, eris.Wrap(ErrMeshListen, err.Error())
+	}
+	self := settings.Identity
+	self.Address = listener.Addr().String()
+	m := &Mesh{
+		self:     self,
+		seeds:    settings.Seeds,
+		clock:    clock,
+		logger:   logger,
+		metrics:  metrics,
+		listener: listener,
+		handlers: map[string]dotterelusher.PeerHandler{},
+		links:    map[string]*link{},
+		targets:  map[string]*target{},
+	}
+	m.SetAddresses(nil)
+	return m, nil
+}
+
+// Identity returns who this process is; its address has the port that was bound.
+func (m *Mesh) Identity() Identity {
+	return m.self
+}
+
+// Handle registers the handler of method; it must be called before Start.
+func (m *Mesh) Handle(method string, handler dotterelusher.PeerHandler) {
+	m.handlers[method] = handler
+}
+
+// Watch registers a function that is called with each state that a peer tells,
+// in order for each peer; it must return soon and be registered before Start.
+func (m *Mesh) Watch(observe func(PeerState)) {
+	m.watchers = append(m.watchers, observe)
+}
+
+// Start accepts links and dials peers.
+func (m *Mesh) Start() {
+	m.tomb.Go(m.accept)
+	m.tomb.Go(m.dialAll)
+}
+
+// Stop ends all links and frees the address.
+func (m *Mesh) Stop() error {
+	m.tomb.Kill(nil)
+	if err := m.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		m.logger.Debug("closing the peer listener", zap.Error(err))
+	}
+	return m.tomb.Wait()
+}
+
+// SetAddresses makes addresses, and the seeds, those that are dialled.
+func (m *Mesh) SetAddresses(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := map[string]*target{}
+	for _, a := range slices.Concat(m.seeds, addresses) {
+		if a == m.self.Address || len(next) >= linkLimit {
+			continue
+		}
+		next[a] = m.targets[a]
+		if next[a] == nil {
+			next[a] = &target{}
+		}
+	}
+	m.targets = next
+}
+
+// Announce changes what this host tells the others.
+func (m *Mesh) Announce(change func(State) State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	former := m.state
+	m.state = change(former)
+	if !m.state.urgent(former) {
+		return
+	}
+	for _, l := range m.links {
+		l.hasten()
+	}
+}
+
+// State returns what this host tells the others.
+func (m *Mesh) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state
+}
+
+// Live returns the peers heard from lately, sorted by name.
+func (m *Mesh) Live() []dotterelusher.Peer {
+	links := m.snapshot()
+	peers := make([]dotterelusher.Peer, 0, len(links))
+	for _, l := range links {
+		peers = append(peers, l.peer())
+	}
+	slices.SortFunc(peers, func(a, b dotterelusher.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return peers
+}
+
+// Call calls method on host and decodes the answer into reply. The error is
+// ErrPeerUnreachable, ErrPeerIndeterminate, ErrMessageTooLarge or a RemoteError.
+func (m *Mesh) Call(ctx context.Context, host, method string, args, reply any) error {
+	m.mu.Lock()
+	l := m.links[host]
+	m.mu.Unlock()
+	if l == nil {
+		return eris.Wrap(dotterelusher.ErrPeerUnreachable, host)
+	}
+	return l.call(ctx, method, args, reply)
+}
+
+func (m *Mesh) snapshot() []*link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	links := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// pace returns the span between two heartbeats to remote.
+func (m *Mesh) pace(remote Identity) dotterclock.Millis {
+	if remote.FailureDomain == m.self.FailureDomain {
+		return BeatPeriod
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	distant := 0
+	for _, l := range m.links {
+		if l.identity().FailureDomain != m.self.FailureDomain {
+			distant++
+		}
+	}
+	needed := dotterclock.Second * dotterclock.Millis(2*beatBytes*distant) / beatBudget
+	return max(BeatPeriod, needed)
+}
+
+func (m *Mesh) observe(told PeerState) {
+	for _, w := range m.watchers {
+		w(told)
+	}
+}
+
+// accept takes links that other entry hosts dial.
+func (m *Mesh) accept() error {
+	for {
+		c, err := m.listener.Accept()
+		if err != nil && !m.tomb.Alive() {
+			return nil
+		}
+		if err != nil {
+			m.logger.Warn("accepting a peer link", zap.Error(err))
+			m.pause(dialPeriod)
+			continue
+		}
+		m.start(c, false)
+	}
+}
+
+// start runs JSON-RPC on c.
+func (m *Mesh) start(c net.Conn, dialed bool) *link {
+	l := newLink(m, dialed)
+	stream := jsonrpc2.NewBufferedStream(conn{Conn: c, metrics: m.metrics}, codec{})
+	logger := log.New(logWriter{m.logger}, "", 0)
+	l.conn = jsonrpc2.NewConn(context.Background(), stream, l, jsonrpc2.SetLogger(logger))
+	close(l.opened)
+	if m.countOpen() > linkLimit {
+		l.conn.Close()
+	}
+	m.tomb.Go(func() error {
+		l.run(m.tomb.Dying())
+		m.forget(l)
+		return nil
+	})
+	return l
+}
+
+// forget drops a link that has ended.
+func (m *Mesh) forget(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open--
+	name := l.identity().Name
+	if m.links[name] != l {
+		return
+	}
+	delete(m.links, name)
+	m.metrics.links.Set(float64(len(m.links)))
+	m.logger.Info("peer link ended", zap.String("Peer", name))
+}
+
+// countOpen adds one to the connections that are open and returns their number.
+func (m *Mesh) countOpen() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open++
+	return m.open
+}
+
+// admit makes l the link to its peer and reports whether it is to be kept.
+func (m *Mesh) admit(l *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	name := l.identity().Name
+	former := m.links[name]
+	if name == m.self.Name || (former != nil && !m.replaces(l, former)) {
+		return false
+	}
+	m.links[name] = l
+	close(l.kept)
+	m.metrics.links.Set(float64(len(m.links)))
+	if former != nil {
+		former.conn.Close()
+	}
+	m.logger.Info("peer link", zap.String("Peer", name), zap.Bool("Dialed", l.dialed))
+	return true
+}
+
+// replaces reports whether l is kept instead of former. A host dials only when
+// it has no link, so a new link replaces an old one; of two that were dialled
+// at the same time by both ends, both keep the one dialled by the smaller name.
+func (m *Mesh) replaces(l, former *link) bool {
+	remote := l.identity()
+	if remote.Incarnation != former.identity().Incarnation {
+		return remote.Incarnation > former.identity().Incarnation
+	}
+	if l.dialed == former.dialed || m.clock.Now()-former.since > handshakeTimeout {
+		return true
+	}
+	return l.dialed == (m.self.Name < remote.Name)
+}
+
+// dialAll dials every address to which there is no link.
+func (m *Mesh) dialAll() error {
+	for {
+		for _, a := range m.dueAddresses() {
+			m.tomb.Go(func() error {
+				m.dial(a)
+				return nil
+			})
+		}
+		if !m.pause(dialPeriod) {
+			return nil
+		}
+	}
+}
+
+func (m *Mesh) dueAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	linked := map[string]bool{}
+	for _, l := range m.links {
+		linked[l.identity().Address] = true
+	}
+	now := m.clock.Now()
+	var due []string
+	for a, t := range m.targets {
+		if linked[a] || !t.due(now) {
+			continue
+		}
+		t.dialing = true
+		due = append(due, a)
+	}
+	return due
+}
+
+// dial makes one attempt at a link to address.
+func (m *Mesh) dial(address string) {
+	err := m.connect(address)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.targets[address]
+	if t == nil {
+		return
+	}
+	t.dialing = false
+	if err != nil {
+		t.failed(m.clock.Now())
+		m.logger.Debug("dialling a peer", zap.String("Address", address), zap.Error(err))
+		return
+	}
+	t.linked(m.clock.Now())
+}
+
+func (m *Mesh) connect(address string) error {
+	ctx, cancel := context.WithTimeout(m.tomb.Context(context.Background()), handshakeTimeout.Duration())
+	defer cancel()
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	l := m.start(c, true)
+	var remote Identity
+	if err := l.conn.Call(ctx, methodHello, m.self, &remote); err != nil {
+		l.conn.Close()
+		return err
+	}
+	l.identify(remote)
+	if !m.admit(l) {
+		l.conn.Close()
+		return nil
+	}
+	m.tell(l)
+	return nil
+}
+
+// tell passes on a state that came before the link was identified.
+func (m *Mesh) tell(l *link) {
+	l.mu.Lock()
+	told := PeerState{Identity: l.remote, State: l.state}
+	l.mu.Unlock()
+	m.observe(told)
+}
+
+// pause waits for span and reports whether the mesh goes on.
+func (m *Mesh) pause(span dotterclock.Millis) bool {
+	select {
+	case <-m.tomb.Dying():
+		return false
+	case <-m.clock.After(span):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/cluster/dotterpeer/remote_error.go
@@ -0,0 +1,15 @@
+package dotterpeer
+
+import "fmt"
+
+// RemoteError is an error that the handler on the other entry host returned.
+type RemoteError struct {
+	Host    string
+	Method  string
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("peer %s: %s: %s", e.Host, e.Method, e.Message)
+}
--- /dev/null
+++ b/internal/cluster/dotterslot/epoch.go
@@ -0,0 +1,17 @@
+package dotterslot
+
+// Epoch is a numbered member list of a failure domain.
+type Epoch struct {
+	Number  int64
+	Members []Member
+}
+
+// Has reports whether m is a member in e.
+func (e Epoch) Has(m Member) bool {
+	for _, o := range e.Members {
+		if o == m {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cluster/dotterslot/metrics.go
@@ -0,0 +1,45 @@
+package dotterslot
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the ledger's collectors.
+type Metrics struct {
+	epoch        prometheus.Gauge
+	acknowledged prometheus.Gauge
+	openEpochs   prometheus.Gauge
+	usableSlots  prometheus.Gauge
+	strays       prometheus.Gauge
+}
+
+// NewMetrics registers the ledger's collectors with registerer.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+		registerer.MustRegister(g)
+		return g
+	}
+	return &Metrics{
+		epoch:        gauge("dotterelusher_membership_epoch", "Membership epoch adopted."),
+		acknowledged: gauge("dotterelusher_membership_acknowledged_epoch", "Membership epoch acknowledged."),
+		openEpochs:   gauge("dotterelusher_membership_open_epochs", "Earlier epochs that some member has not let go of."),
+		usableSlots:  gauge("dotterelusher_slots_usable", "Slots of backend servers that this entry host may use."),
+		strays:       gauge("dotterelusher_slots_stray", "Slots and connections in use that another entry host is to have."),
+	}
+}
+
+// observe sets the gauges; the ledger's lock is held.
+func (m *Metrics) observe(l *Ledger) {
+	if m == nil {
+		return
+	}
+	usable := 0
+	for _, s := range *l.servers.Load() {
+		u, _ := s.slots.counts()
+		usable += u
+	}
+	m.epoch.Set(float64(l.view.Current.Number))
+	m.acknowledged.Set(float64(l.acknowledged))
+	m.openEpochs.Set(float64(len(l.view.Open)))
+	m.usableSlots.Set(float64(usable))
+	m.strays.Set(float64(l.strays.Load()))
+}
