Model: the configuration remembers its last changes

Cause: an operator whose answer was lost, and whose edit was followed by another's, can't tell from the last change id alone whether it was made; and a refused edit has to name what changed since its base. Change: Document.Changes, additive. Ruled out: one store key per change (more store calls, and not atomic with the document).

--- /dev/null
+++ b/internal/model/dotterconfig/change.go
@@ -0,0 +1,12 @@
+package dotterconfig
+
+// KeptChanges is the number of changes that a Document remembers.
+const KeptChanges = 64
+
+// Change is one edit of the configuration.
+type Change struct {
+	Revision  int64 // that the edit made
+	ChangeID  string
+	ChangedBy string   `json:",omitempty"`
+	Items     []string // what it touched, such as "Team brokers", sorted
+}
--- a/internal/model/dotterconfig/document.go
+++ b/internal/model/dotterconfig/document.go
@@ -13,6 +13,7 @@
 	Templates      []Template
 	FailureDomains []FailureDomain
 	Draining       []string `json:",omitempty"` // names of hosts that operators drain
+	Changes        []Change `json:",omitempty"` // the last KeptChanges edits, oldest first
 }
 
 // Newer reports whether d replaces o.
