--- a/internal/cluster/dotterdirectory/directory.go
+++ b/internal/cluster/dotterdirectory/directory.go
@@ -77,21 +77,20 @@
 	return d.changed
 }
 
-// AbsentFor returns for how long every good read has shown the list without
-// host, up to the last good read. It is zero for a host that is listed.
-func (d *Directory) AbsentFor(host string) dotterclock.Millis {
+// Absence returns the span, by the clock of the reads, over which every good
+// read has shown the list without host, or false for a host that is listed.
+func (d *Directory) Absence(host string) (since, until dotterclock.Millis, absent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	since, ok := d.missing[host]
-	if ok {
-		return d.readAt - since
+	if since, ok := d.missing[host]; ok {
+		return since, d.readAt, true
 	}
 	for _, h := range d.hosts {
 		if h.Name == host {
-			return 0
+			return 0, 0, false
 		}
 	}
-	return d.readAt - d.firstAt
+	return d.firstAt, d.readAt, d.firstAt > 0
 }
 
 func (d *Directory) poll() error {
--- /dev/null
+++ b/internal/cluster/dottermember/metrics.go
@@ -0,0 +1,25 @@
+package dottermember
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the collectors of a Keeper.
+type Metrics struct {
+	members prometheus.Gauge
+	changes *prometheus.CounterVec
+}
+
+// NewMetrics registers the collectors with registerer.
+func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		members: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dotterelusher_members",
+			Help: "Members of this failure domain in the record last read.",
+		}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dotterelusher_membership_changes_total",
+			Help: "Changes of the record that this process made, by kind.",
+		}, []string{"Kind"}),
+	}
+	registerer.MustRegister(m.members, m.changes)
+	return m
+}
--- a/internal/cluster/dotterpeer/state.go
+++ b/internal/cluster/dotterpeer/state.go
@@ -5,6 +5,7 @@
 // State is what an entry host tells the others about itself.
 type State struct {
 	Revision     int64    `json:",omitempty"` // configuration in force
+	Incarnation  int64    `json:",omitempty"` // under which it is a member of its failure domain
 	Epoch        int64    `json:",omitempty"` // membership epoch of its failure domain that it has adopted
 	Acknowledged int64    `json:",omitempty"` // membership epoch that it has acknowledged
 	FreeSlots    int      `json:",omitempty"`
@@ -18,8 +19,10 @@
 	return s
 }
 
-// WithMembership returns a copy of s with the membership epochs adopted and acknowledged.
-func (s State) WithMembership(epoch, acknowledged int64) State {
+// WithMembership returns a copy of s with the membership epochs that it has
+// adopted and acknowledged as the member of incarnation.
+func (s State) WithMembership(incarnation, epoch, acknowledged int64) State {
+	s.Incarnation = incarnation
 	s.Epoch = epoch
 	s.Acknowledged = acknowledged
 	return s
@@ -51,6 +54,7 @@
 
 func (s State) equal(o State) bool {
 	return s.Revision == o.Revision &&
+		s.Incarnation == o.Incarnation &&
 		s.Epoch == o.Epoch &&
 		s.Acknowledged == o.Acknowledged &&
 		s.FreeSlots == o.FreeSlots &&
--- a/internal/cluster/dotterslot/ledger.go
+++ b/internal/cluster/dotterslot/ledger.go
@@ -104,11 +104,15 @@
 	return l.changed
 }
 
-// Acknowledged returns the highest epoch that this member has acknowledged, a
-// promise to use nothing but what it holds in that epoch or adopts later.
-func (l *Ledger) Acknowledged() int64 {
+// AcknowledgedBy returns the highest epoch that this process has acknowledged as
+// the member of incarnation, a promise to use nothing but what it holds in that
+// epoch or adopts later; zero is none.
+func (l *Ledger) AcknowledgedBy(incarnation int64) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.self.Incarnation != incarnation {
+		return 0
+	}
 	return l.acknowledged
 }
 
