--- /dev/null
+++ b/internal/task/dotterowner/cancel.go
@@ -0,0 +1,95 @@
+package dotterowner
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+)
+
+// Cancelled is the answer to Cancel.
+type Cancelled struct {
+	Count int                        // tasks that were not yet final
+	Moved map[string][]dottertask.ID // tasks that other shards have taken over
+}
+
+// Cancel cancels the tasks in one record. Queued tasks end at once, running
+// ones when their worker has stopped them.
+func (o *Owner) Cancel(ctx context.Context, ids []dottertask.ID) (Cancelled, error) {
+	answers := make(chan answer, 1)
+	result := Cancelled{Moved: make(map[string][]dottertask.ID)}
+	if !o.post(func() { o.cancel(ids, &result, answers) }) {
+		return Cancelled{}, ErrRefused
+	}
+	_, err := o.await(ctx, answers)
+	if err != nil {
+		return Cancelled{}, err
+	}
+	return result, nil
+}
+
+func (o *Owner) cancel(ids []dottertask.ID, result *Cancelled, answers chan answer) {
+	if o.away {
+		answers <- answer{err: eris.Wrap(ErrRefused, "the store is away")}
+		return
+	}
+	var cancelled []dottertask.ID
+	for _, id := range ids {
+		e, ok := o.ledger.Entry(id)
+		switch {
+		case !ok || e.Task.State.Final():
+		case e.Task.State == dottertask.StateMoved:
+			result.Moved[e.Target] = append(result.Moved[e.Target], id)
+		default:
+			cancelled = append(cancelled, id)
+		}
+	}
+	result.Count = len(cancelled)
+	if len(cancelled) == 0 {
+		answers <- answer{}
+		return
+	}
+	o.proposeCancellation(cancelled, answers)
+}
+
+// proposeCancellation logs a cancellation for which a caller waits.
+func (o *Owner) proposeCancellation(ids []dottertask.ID, answers chan answer) {
+	c := o.cancellation(ids)
+	stop := c.committed
+	answered := false
+	reply := func(a answer) {
+		if !answered {
+			answered = true
+			answers <- a
+		}
+	}
+	c.committed = func() { stop(); reply(answer{}) }
+	c.refused = func(err error) { reply(answer{err: err}) }
+	o.propose(c)
+}
+
+func (o *Owner) cancellation(ids []dottertask.ID) change {
+	record := dotterrecord.Cancelled{Tasks: ids, At: o.options.Clock.Now()}
+	return change{
+		records:   []dotterrecord.Record{{Cancelled: &record}},
+		committed: func() { o.stopCancelled(ids) },
+	}
+}
+
+// stopCancelled ends the attempts of tasks whose cancellation is in the log.
+func (o *Owner) stopCancelled(ids []dottertask.ID) {
+	for _, id := range ids {
+		r, ok := o.runs[id]
+		if !ok {
+			continue
+		}
+		if (r.phase == phaseAhead || r.phase == phaseReady) && !o.isBusy(id) {
+			o.attemptReleased(r, "cancelled")
+			continue
+		}
+		r.order = orderStop
+		r.orderedAt = 0
+	}
+}
--- /dev/null
+++ b/internal/task/dotterowner/decisions.go
@@ -0,0 +1,15 @@
+package dotterowner
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+// logMoved writes one log line for each task that another shard has taken over.
+func (o *Owner) logMoved(target string, ids []dottertask.ID) {
+	for _, id := range ids {
+		o.logger.Info("Task moved", zap.String("Task", string(id)), zap.String("Target", target),
+			zap.String("Reason", "this shard can't run it"), zap.Int64("Revision", o.document.Revision))
+	}
+}
--- /dev/null
+++ b/internal/task/dotterowner/owner.go
@@ -0,0 +1,255 @@
+package dotterowner
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterledger"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershardlog"
+)
+
+// mailboxSize is how many results may wait for the loop.
+const mailboxSize = 1024
+
+// Owner owns one shard until it is stopped or deposed.
+type Owner struct {
+	options Options
+	limits  Limits
+	logger  *zap.Logger
+	tomb    tomb.Tomb
+	mailbox chan func()
+	closed  chan struct{} // closed when the loop takes nothing more
+
+	// Everything below belongs to the loop.
+	log          *dottershardlog.Log
+	ledger       *dotterledger.Ledger
+	sequence     int64
+	pending      []change
+	writing      *batch
+	nextWrite    dotterclock.Millis
+	away         bool // the last write did not succeed
+	backoff      dotterclock.Millis
+	busy         map[dottertask.ID]int // records under way
+	workers      map[string]*worker
+	runs         map[dottertask.ID]*run
+	offers       map[string]*offer
+	dirty        bool
+	nextPlan     dotterclock.Millis
+	replanAt     dotterclock.Millis
+	permission   dotterelusher.StartPermission
+	document     dotterconfig.Document
+	lastUsable   dotterclock.Millis
+	nextDrain    dotterclock.Millis
+	pendingTasks int // submitted tasks that aren't in the log yet
+}
+
+// Open claims the shard's log and starts to own the shard. It returns
+// ErrDeposed when another host claimed it at the same time.
+func Open(ctx context.Context, options Options) (*Owner, error) {
+	log, ledger, err := dottershardlog.Open(ctx, options.Store, dottershardlog.Options{
+		Prefix:   options.Shard.SegmentPrefix(),
+		Writer:   options.Writer,
+		RingSize: options.Limits.RingSize,
+		Ended:    options.Limits.Ended,
+	})
+	if errors.Is(err, dottershardlog.ErrDeposed) {
+		return nil, eris.Wrapf(ErrDeposed, "open %s: %v", options.Shard, err)
+	}
+	if err != nil {
+		return nil, eris.Wrapf(err, "open %s", options.Shard)
+	}
+	o := &Owner{
+		options:    options,
+		limits:     options.Limits,
+		logger:     options.Logger.With(zap.String("Shard", options.Shard.String())),
+		mailbox:    make(chan func(), mailboxSize),
+		closed:     make(chan struct{}),
+		log:        log,
+		ledger:     ledger,
+		sequence:   log.Sequence(),
+		busy:       make(map[dottertask.ID]int),
+		workers:    make(map[string]*worker),
+		runs:       make(map[dottertask.ID]*run),
+		offers:     make(map[string]*offer),
+		dirty:      true,
+		lastUsable: options.Clock.Now(),
+	}
+	o.adoptLedger()
+	o.logger.Info("Shard opened", zap.Int64("Epoch", log.Epoch()), zap.Int("Queued", ledger.QueueLen()), zap.Int("Bound", ledger.BoundLen()))
+	o.tomb.Go(o.loop)
+	return o, nil
+}
+
+// adoptLedger takes over what the owner before left bound: attempts whose state
+// on their worker isn't known, and offers that may have arrived.
+func (o *Owner) adoptLedger() {
+	o.document, _ = o.options.Configuration.Current()
+	o.syncWorkers()
+	for _, id := range o.ledger.Bound() {
+		e, _ := o.ledger.Entry(id)
+		w := o.workerOf(e.Task.Worker)
+		o.addRun(w, &run{task: e.Task, attempt: e.Task.Attempt, size: e.Held, phase: phaseUncertain})
+	}
+	o.ledger.Queue(func(e dotterrecord.Entry) bool {
+		if e.Target != "" {
+			o.offerTo(e.Target).add(e.Task.ID)
+			o.offerTo(e.Target).uncertain = true
+		}
+		return true
+	})
+}
+
+// Epoch returns the epoch of this ownership.
+func (o *Owner) Epoch() int64 {
+	return o.log.Epoch()
+}
+
+// Dead returns a channel that is closed when the owner has ended.
+func (o *Owner) Dead() <-chan struct{} {
+	return o.tomb.Dead()
+}
+
+// Stop writes what is on its way into the log and ends the owner. Attempts go
+// on running for the next owner.
+func (o *Owner) Stop() {
+	o.tomb.Kill(nil)
+	<-o.tomb.Dead()
+}
+
+// Err returns why the owner ended: nil after Stop, or ErrDeposed.
+func (o *Owner) Err() error {
+	if err := o.tomb.Err(); !errors.Is(err, tomb.ErrStillAlive) {
+		return err
+	}
+	return nil
+}
+
+// post hands f to the loop and reports whether the loop was there to take it.
+func (o *Owner) post(f func()) bool {
+	select {
+	case o.mailbox <- f:
+		return true
+	case <-o.closed:
+		return false
+	}
+}
+
+// ask runs f on the loop and waits for it to finish.
+func (o *Owner) ask(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	if !o.post(func() { f(); close(done) }) {
+		return ErrDeposed
+	}
+	select {
+	case <-done:
+		return nil
+	case <-o.closed:
+		return ErrDeposed
+	case <-ctx.Done():
+		return eris.Wrap(ErrUnknown, ctx.Err().Error())
+	}
+}
+
+func (o *Owner) loop() error {
+	defer close(o.closed)
+	tick := o.options.Clock.After(o.limits.Tick)
+	for {
+		select {
+		case <-o.tomb.Dying():
+			return o.finish()
+		case f := <-o.mailbox:
+			f()
+		case <-tick:
+			o.step()
+			tick = o.options.Clock.After(o.limits.Tick)
+		}
+		if o.tomb.Err() != tomb.ErrStillAlive {
+			return o.finish()
+		}
+	}
+}
+
+// step does what has become due.
+func (o *Owner) step() {
+	now := o.options.Clock.Now()
+	if document, ok := o.options.Configuration.Current(); ok && document.Newer(o.document) {
+		o.document = document
+		o.dirty = true
+	}
+	o.permission = o.options.Configuration.StartsAllowed(o.options.Shard.FailureDomain)
+	o.syncWorkers()
+	o.expire(now)
+	o.drain(now)
+	if o.away {
+		o.startAhead(now)
+	}
+	if !o.away && o.planDue(now) {
+		o.plan(now)
+	}
+	o.handOff(now)
+	o.callWorkers(now)
+	o.commit(now)
+	o.report()
+}
+
+// finish writes what is pending, as far as the store answers, and refuses the rest.
+func (o *Owner) finish() error {
+	deposed := errors.Is(o.tomb.Err(), ErrDeposed)
+	for !deposed && (o.writing != nil || len(o.pending) > 0) {
+		o.nextWrite = 0
+		o.commit(o.options.Clock.Now())
+		if o.writing == nil {
+			break
+		}
+		f := <-o.mailbox
+		f()
+		if o.away {
+			break
+		}
+		deposed = errors.Is(o.tomb.Err(), ErrDeposed)
+	}
+	o.refuseAll()
+	o.logger.Info("Shard closed", zap.Int64("Epoch", o.log.Epoch()), zap.NamedError("Reason", o.Err()))
+	return nil
+}
+
+func (o *Owner) refuseAll() {
+	if o.writing != nil {
+		o.writing.answerUnknown()
+	}
+	waiting := batch{changes: o.pending}
+	waiting.answerRefused()
+}
+
+func (o *Owner) depose(reason string) {
+	o.tomb.Kill(eris.Wrap(ErrDeposed, reason))
+}
+
+// report sets the gauges.
+func (o *Owner) report() {
+	shard := o.options.Shard.String()
+	running, ahead := o.countRuns()
+	o.options.Metrics.QueueLen.WithLabelValues(shard).Set(float64(o.ledger.QueueLen()))
+	o.options.Metrics.RunningLen.WithLabelValues(shard).Set(float64(running))
+	o.options.Metrics.AheadLen.WithLabelValues(shard).Set(float64(ahead))
+}
+
+func (o *Owner) countRuns() (running, ahead int) {
+	for _, r := range o.runs {
+		if r.holdsRoom() {
+			running++
+		} else if r.phase != phaseEnded {
+			ahead++
+		}
+	}
+	return running, ahead
+}
--- /dev/null
+++ b/internal/task/dotterowner/queries.go
@@ -0,0 +1,72 @@
+package dotterowner
+
+import (
+	"context"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+)
+
+// Get returns the task and, if it was moved, the shard that took it over.
+func (o *Owner) Get(ctx context.Context, id dottertask.ID) (dottertask.Task, string, error) {
+	var task dottertask.Task
+	target, found := "", false
+	err := o.ask(ctx, func() {
+		e, ok := o.ledger.Entry(id)
+		if !ok {
+			return
+		}
+		found = true
+		task = e.Task
+		if r, live := o.runs[id]; live && e.Bound() && r.attempt == e.Task.Attempt {
+			task.State = o.stateOf(r)
+		}
+		if task.State == dottertask.StateMoved {
+			target = e.Target
+		}
+	})
+	if err == nil && !found {
+		err = ErrNotFound
+	}
+	return task, target, err
+}
+
+// Totals returns what the shard has charged so far.
+func (o *Owner) Totals(ctx context.Context) ([]dotterrecord.Total, error) {
+	var totals []dotterrecord.Total
+	err := o.ask(ctx, func() { totals = o.ledger.Totals() })
+	return totals, err
+}
+
+// Status returns a summary of the shard.
+func (o *Owner) Status(ctx context.Context) (dotterelusher.ShardStatus, error) {
+	var status dotterelusher.ShardStatus
+	err := o.ask(ctx, func() {
+		running, ahead := o.countRuns()
+		status = dotterelusher.ShardStatus{
+			Shard: o.options.Shard.String(), Epoch: o.log.Epoch(), Workers: len(o.usableWorkers()),
+			Queued: o.ledger.QueueLen() + ahead, Running: running, Ended: o.ledger.EndedLen(),
+		}
+	})
+	return status, err
+}
+
+// Use returns what the shard's attempts hold and its workers' capacity.
+func (o *Owner) Use(ctx context.Context) (PoolUse, error) {
+	use := PoolUse{Teams: make(map[string]dotterroom.Room)}
+	err := o.ask(ctx, func() {
+		for _, w := range o.workers {
+			if w.listed {
+				use.Pool = use.Pool.Add(w.host.Capacity)
+			}
+		}
+		for _, r := range o.runs {
+			if r.holdsRoom() {
+				use.Teams[r.task.Team] = use.Teams[r.task.Team].Add(r.size)
+			}
+		}
+	})
+	return use, err
+}
--- /dev/null
+++ b/internal/task/dotterowner/rules.go
@@ -0,0 +1,51 @@
+package dotterowner
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+)
+
+// defaultMaxAttempts is how many attempts of a task may fail when its template sets no number.
+const defaultMaxAttempts = 3
+
+func (o *Owner) maxAttempts(template string) int {
+	t, ok := o.document.Template(template)
+	if !ok || t.MaxAttempts == 0 {
+		return defaultMaxAttempts
+	}
+	return t.MaxAttempts
+}
+
+func (o *Owner) costWeight(template string) float64 {
+	t, ok := o.document.Template(template)
+	if !ok || t.CostWeight == 0 {
+		return 1
+	}
+	return t.CostWeight
+}
+
+func (o *Owner) allowsCutOffStarts(template string) bool {
+	t, ok := o.document.Template(template)
+	return ok && t.CutOffStarts == dotterconfig.RuleAllow
+}
+
+// totalKey returns the sum to which an attempt of team is charged now.
+func (o *Owner) totalKey(team string) dotterrecord.TotalKey {
+	t, _ := o.document.Team(team)
+	return dotterrecord.TotalKey{Team: team, Partner: t.Partner, Split: splitName(o.document.Partners)}
+}
+
+// splitName names a split by its shares, so that revisions that leave it as it
+// is don't start new sums.
+func splitName(partners []dotterconfig.Partner) string {
+	parts := make([]string, len(partners))
+	for i, p := range partners {
+		parts[i] = fmt.Sprintf("%s:%g", p.Name, p.SharePercent)
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/internal/task/dottershardlog/ring.go
@@ -0,0 +1,70 @@
+package dottershardlog
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+)
+
+// ring is the fixed set of keys that hold a log.
+type ring struct {
+	prefix   string
+	size     int64
+	versions []dotterkey.Version
+}
+
+func newRing(prefix string, size int64) *ring {
+	return &ring{prefix: prefix, size: size, versions: make([]dotterkey.Version, size)}
+}
+
+func (r *ring) slot(number int64) int64 {
+	return number % r.size
+}
+
+func (r *ring) key(number int64) string {
+	return fmt.Sprintf("%s%04d", r.prefix, r.slot(number))
+}
+
+func (r *ring) version(number int64) dotterkey.Version {
+	return r.versions[r.slot(number)]
+}
+
+func (r *ring) setVersion(number int64, version dotterkey.Version) {
+	r.versions[r.slot(number)] = version
+}
+
+// read decodes the entries of the ring, notes their versions and returns the
+// segments in order. A gap means that the log was written while it was read.
+func (r *ring) read(entries []dotterkey.Entry) ([]dotterrecord.Segment, error) {
+	segments := make([]dotterrecord.Segment, 0, len(entries))
+	clear(r.versions)
+	for _, e := range entries {
+		s, err := dotterrecord.DecodeSegment(e.Value)
+		if err != nil {
+			return nil, eris.Wrapf(ErrUnreadable, "%s: %v", e.Key, err)
+		}
+		if e.Key != r.key(s.Number) {
+			return nil, eris.Wrapf(ErrUnreadable, "%s holds segment %d of a ring of another size", e.Key, s.Number)
+		}
+		r.setVersion(s.Number, e.Version)
+		segments = append(segments, s)
+	}
+	sort.Slice(segments, func(i, j int) bool { return segments[i].Number < segments[j].Number })
+	return segments, r.checkWhole(segments)
+}
+
+func (r *ring) checkWhole(segments []dotterrecord.Segment) error {
+	if len(segments) == 0 {
+		return nil
+	}
+	newest := segments[len(segments)-1].Number
+	oldest := max(1, newest-r.size+1)
+	if int64(len(segments)) != newest-oldest+1 || segments[0].Number != oldest {
+		return eris.Wrapf(ErrUnreadable, "segments %d to %d are not whole", oldest, newest)
+	}
+	return nil
+}
