Serve service requests end to end

Cause: the parts of the daemon stood apart. The peer mesh may bind another address than the one that it tells (relays, address translation). dotterjson passed the inside of json.RawMessage for a list: a test that failed first, then the check for types that decode themselves. Settings that nothing read are gone. Not yet: tasks.

--- a/internal/base/dotterjson/decode_test.go
+++ b/internal/base/dotterjson/decode_test.go
@@ -1,6 +1,7 @@
 package dotterjson
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -45,6 +46,12 @@
 	assert.ErrorContains(t, err, "f:2:")
 }
 
+func TestDecodeLeavesRawMessagesAlone(t *testing.T) {
+	var target struct{ Raw json.RawMessage }
+	require.NoError(t, Decode("f", []byte(`{"Raw": {"Any": [1, "x"]}}`), &target))
+	assert.JSONEq(t, `{"Any": [1, "x"]}`, string(target.Raw))
+}
+
 func TestLocateFindsTheNearestParent(t *testing.T) {
 	data := []byte("{\n  \"Inner\": {\n  }\n}")
 	faults := &dottercheck.Faults{List: []dottercheck.Fault{{Pointer: "/Inner/Flag", Problem: "missing"}}}
--- a/internal/base/dotterjson/walker.go
+++ b/internal/base/dotterjson/walker.go
@@ -12,6 +12,8 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
 )
 
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
 // walker compares a parsed document with the type that it is to fill.
 type walker struct {
 	data   []byte
@@ -22,6 +24,9 @@
 	for typ.Kind() == reflect.Pointer {
 		typ = typ.Elem()
 	}
+	if reflect.PointerTo(typ).Implements(unmarshalerType) {
+		return // the type decodes itself, as json.RawMessage does
+	}
 	switch x := value.Value.(type) {
 	case *hujson.Object:
 		w.object(value, x, typ, pointer)
--- a/internal/cluster/dotterpeer/mesh.go
+++ b/internal/cluster/dotterpeer/mesh.go
@@ -67,12 +67,14 @@
 // The address stays bound until Stop: that another process could bind it is
 // taken as proof that this one is gone, so Stop comes after the last request.
 func New(settings Settings, clock dotterelusher.Clock, logger *zap.Logger, metrics *Metrics) (*Mesh, error) {
-	listener, err := net.Listen("tcp", settings.Identity.Address)
+	listener, err := net.Listen("tcp", settings.bindAddress())
 	if err != nil {
 		return nil, eris.Wrap(ErrMeshListen, err.Error())
 	}
 	self := settings.Identity
-	self.Address = listener.Addr().String()
+	if settings.Listen == "" {
+		self.Address = listener.Addr().String()
+	}
 	m := &Mesh{
 		self:     self,
 		seeds:    settings.Seeds,
--- /dev/null
+++ b/internal/server/dotterdaemon/status.go
@@ -0,0 +1,83 @@
+package dotterdaemon
+
+import (
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
+)
+
+const startsAllowed = "Allowed"
+
+// notReady returns why this host takes no work, nothing if it does.
+func (d *Daemon) notReady() []string {
+	var reasons []string
+	if d.leaving.Load() {
+		reasons = append(reasons, "shutting down")
+	}
+	if _, ok := d.cluster.holder.Current(); !ok {
+		reasons = append(reasons, "no configuration yet")
+	}
+	if len(d.cluster.directory.Hosts()) == 0 {
+		reasons = append(reasons, "no host list yet")
+	}
+	return reasons
+}
+
+// status returns what this host knows.
+func (d *Daemon) status() dottermessage.StatusAnswer {
+	answer := dottermessage.StatusAnswer{
+		Host:          d.settings.Host,
+		FailureDomain: d.settings.FailureDomain,
+		Region:        d.settings.Region,
+		Revision:      d.cluster.revision(),
+		NotReady:      d.notReady(),
+		Starts:        startsAllowed,
+		EntryHosts:    d.entryHosts(),
+		Backends:      d.backends(),
+		Shards:        d.shards(),
+	}
+	permission := d.cluster.holder.StartsAllowed(d.settings.FailureDomain)
+	if !permission.Allowed {
+		answer.Starts = permission.Reason
+	}
+	return answer
+}
+
+func (d *Daemon) entryHosts() []dottermessage.EntryHostStatus {
+	now := d.clock.Now()
+	var hosts []dottermessage.EntryHostStatus
+	for _, p := range d.cluster.mesh.Live() {
+		hosts = append(hosts, dottermessage.EntryHostStatus{
+			Host:          p.Name,
+			FailureDomain: p.FailureDomain,
+			Revision:      p.Revision,
+			HeardAgo:      heardAgo(p, now),
+			FreeSlots:     p.FreeSlots,
+			Leaving:       p.Leaving,
+		})
+	}
+	return hosts
+}
+
+func (d *Daemon) backends() []dottermessage.BackendStatus {
+	var backends []dottermessage.BackendStatus
+	for _, h := range d.cluster.directory.Hosts() {
+		if h.Role != dotterhost.RoleBackend || h.FailureDomain != d.settings.FailureDomain {
+			continue
+		}
+		usable, free := d.cluster.ledger.Slots(h.Name)
+		backends = append(backends, dottermessage.BackendStatus{
+			Host: h.Name, Service: h.Service, State: string(h.State), Usable: usable, Free: free,
+		})
+	}
+	return backends
+}
+
+func (d *Daemon) shards() []dottermessage.ShardStatus {
+	var shards []dottermessage.ShardStatus
+	for _, s := range d.tasks.Shards() {
+		shards = append(shards, dottermessage.ShardStatus{
+			Shard: s.Shard, Epoch: s.Epoch, Workers: s.Workers, Queued: s.Queued, Running: s.Running, Ended: s.Ended,
+		})
+	}
+	return shards
+}
--- a/internal/server/dottersettings/limits.go
+++ b/internal/server/dottersettings/limits.go
@@ -6,7 +6,6 @@
 type Limits struct {
 	MaxBodyKB            int // size of a caller's request body, KB
 	MaxQueue             int // requests that wait for a slot, per template
-	MaxRetryPercent      int // retries and hedges, percent of requests
 	StoreReadsPerSecond  int // store reads of this process
 	StoreWritesPerSecond int // store writes of this process
 	MaxQueuedTasks       int // tasks that wait in one shard
@@ -16,7 +15,6 @@
 	return Limits{
 		MaxBodyKB:            1024,
 		MaxQueue:             256,
-		MaxRetryPercent:      10,
 		StoreReadsPerSecond:  80,
 		StoreWritesPerSecond: 20,
 		MaxQueuedTasks:       20000,
@@ -26,7 +24,6 @@
 func (l Limits) check(c *dottercheck.Checker) {
 	dottercheck.Range(c, "/Limits/MaxBodyKB", l.MaxBodyKB, 1, 65536, "KB")
 	dottercheck.Range(c, "/Limits/MaxQueue", l.MaxQueue, 1, 100000, "requests")
-	dottercheck.Range(c, "/Limits/MaxRetryPercent", l.MaxRetryPercent, 0, 100, "percent")
 	dottercheck.Range(c, "/Limits/StoreReadsPerSecond", l.StoreReadsPerSecond, 1, 10000, "reads a second")
 	dottercheck.Range(c, "/Limits/StoreWritesPerSecond", l.StoreWritesPerSecond, 1, 10000, "writes a second")
 	dottercheck.Range(c, "/Limits/MaxQueuedTasks", l.MaxQueuedTasks, 1, 1000000, "tasks")
--- a/internal/testing/dotterharness/options.go
+++ b/internal/testing/dotterharness/options.go
@@ -62,9 +62,7 @@
 	s.StoreAddress = platform
 	s.HostListAddress = platform
 	s.SeedPeers = []string{}
-	s.Timing.HeartbeatMillis = 200
 	s.Timing.StoreLeaseMillis = 2000
-	s.Timing.HostListPollMillis = 200
 	s.Timing.HostListLagMillis = 2 * listLag
 	s.Timing.WorkerLeaseMillis = 3000
 	s.Timing.DrainMillis = 10_000
