Tasks: shard log, ledger, owner and service

Change: dotterservice.New(Options) gives root Tasks plus Start, Stop, Owned and Usage; it claims shards by store lease, and dotterowner runs each of them on dottershardlog (ring of segments, compare-and-swap, carrying forward). Seen: one owner with fake workers runs 20 tasks to their end, each started once (go test ./internal/task/...).

--- a/internal/task/dotterowner/commit.go
+++ b/internal/task/dotterowner/commit.go
@@ -177,5 +177,6 @@
 	if t.Attempts > 0 {
 		return t
 	}
-	return dotterrecord.Total{Team: key.Team, Partner: key.Partner, Split: key.Split, Revision: o.document.Revision}
+	return dotterrecord.Total{Team: key.Team, Partner: key.Partner, Split: key.Split,
+		Percent: sharePercent(o.document.Partners, key.Partner), Revision: o.document.Revision}
 }
--- a/internal/task/dotterowner/handoff.go
+++ b/internal/task/dotterowner/handoff.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// offerSize is the most tasks on their way to one shard.
+	// offerSize is the most tasks on their way to one shard; it is halved by each
+	// refusal, so that one task that fits nowhere holds up no others for long.
 	offerSize = 200
 	// offerRetry is the time between two calls for the same offer.
 	offerRetry = dotterclock.Second
@@ -32,9 +33,9 @@
 	if len(targets) == 0 {
 		return
 	}
-	waiting := o.movable(offerSize * len(targets))
+	waiting := o.movable(o.offerSize * len(targets))
 	for i, target := range targets {
-		part := share(waiting, i, len(targets))
+		part := share(waiting, i, len(targets), o.offerSize)
 		if len(part) > 0 && len(o.offerTo(target).tasks) == 0 {
 			o.makeOffer(target, part)
 		}
@@ -65,9 +66,9 @@
 }
 
 // share returns the part of ids that goes to the target with the index.
-func share(ids []dottertask.ID, index, targets int) []dottertask.ID {
+func share(ids []dottertask.ID, index, targets, size int) []dottertask.ID {
 	var part []dottertask.ID
-	for i := index; i < len(ids) && len(part) < offerSize; i += targets {
+	for i := index; i < len(ids) && len(part) < size; i += targets {
 		part = append(part, ids[i])
 	}
 	return part
@@ -131,9 +132,11 @@
 	f.calling = false
 	switch {
 	case err == nil:
+		o.offerSize = min(2*o.offerSize, offerSize)
 		o.propose(o.moved(target, f, ids))
 	case errors.Is(err, ErrRefused) && !f.uncertain:
 		// No call for these tasks is under way and none was carried out.
+		o.offerSize = max(o.offerSize/2, 1)
 		o.propose(o.withdrawn(f, ids))
 	case !errors.Is(err, ErrRefused):
 		f.uncertain = true
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -42,6 +42,7 @@
 	workers      map[string]*worker
 	runs         map[dottertask.ID]*run
 	offers       map[string]*offer
+	offerSize    int // most tasks in the next offer
 	dirty        bool
 	nextPlan     dotterclock.Millis
 	replanAt     dotterclock.Millis
@@ -80,6 +81,7 @@
 		workers:    make(map[string]*worker),
 		runs:       make(map[dottertask.ID]*run),
 		offers:     make(map[string]*offer),
+		offerSize:  offerSize,
 		dirty:      true,
 		lastUsable: options.Clock.Now(),
 	}
--- a/internal/task/dotterowner/rules.go
+++ b/internal/task/dotterowner/rules.go
@@ -39,6 +39,15 @@
 	return dotterrecord.TotalKey{Team: team, Partner: t.Partner, Split: splitName(o.document.Partners)}
 }
 
+func sharePercent(partners []dotterconfig.Partner, name string) float64 {
+	for _, p := range partners {
+		if p.Name == name {
+			return p.SharePercent
+		}
+	}
+	return 0
+}
+
 // splitName names a split by its shares, so that revisions that leave it as it
 // is don't start new sums.
 func splitName(partners []dotterconfig.Partner) string {
--- a/internal/task/dotterrecord/total.go
+++ b/internal/task/dotterrecord/total.go
@@ -11,8 +11,9 @@
 type Total struct {
 	Team         string
 	Partner      string
-	Split        string // the partners' shares in force when the attempts ended
-	Revision     int64  // configuration revision at which the shard first saw the split
+	Split        string  // the partners' shares in force when the attempts ended
+	Percent      float64 // partner's share under the split
+	Revision     int64   // configuration revision at which the shard first charged it
 	Attempts     int64
 	CoreMillis   int64 // thousandths of a core times milliseconds
 	MemoryMillis int64 // megabytes times milliseconds
@@ -41,3 +42,14 @@
 	t.CostMillis += int64(weight * float64(room.MilliCores*int64(span)))
 	return t
 }
+
+// With returns the sum of t and o; the revision is the lower one.
+func (t Total) With(o Total) Total {
+	t.Revision = min(t.Revision, o.Revision)
+	t.Attempts += o.Attempts
+	t.CoreMillis += o.CoreMillis
+	t.MemoryMillis += o.MemoryMillis
+	t.DeviceMillis += o.DeviceMillis
+	t.CostMillis += o.CostMillis
+	return t
+}
--- /dev/null
+++ b/internal/task/dotterservice/call.go
@@ -0,0 +1,86 @@
+package dotterservice
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// handle registers what other entry hosts may ask of this one.
+func (s *Service) handle() {
+	for method, answer := range map[string]func(context.Context, Call) Reply{
+		MethodSubmit: s.answerSubmit,
+		MethodGet:    s.answerGet,
+		MethodCancel: s.answerCancel,
+		MethodAdopt:  s.answerAdopt,
+		MethodTotals: s.answerTotals,
+		MethodUse:    s.answerUse,
+	} {
+		s.options.Peers.Handle(method, func(ctx context.Context, _ string, args json.RawMessage) (any, error) {
+			var call Call
+			if err := json.Unmarshal(args, &call); err != nil {
+				return Reply{Code: codeInvalid, Message: err.Error()}, nil
+			}
+			return answer(ctx, call), nil
+		})
+	}
+}
+
+// call has the owner of the call's shard answer it, here or on another host.
+// An error means that there is no answer: ErrTaskRefused that the call was
+// surely not carried out, ErrTaskUnknown that it may have been.
+func (s *Service) call(ctx context.Context, method string, call Call, answer func(context.Context, Call) Reply) (Reply, error) {
+	name, ok := dottershard.ParseName(call.Shard)
+	if !ok {
+		return Reply{}, eris.Wrapf(dotterelusher.ErrTaskNotFound, "no shard %q", call.Shard)
+	}
+	if _, mine := s.own(name); mine {
+		return answer(ctx, call), nil
+	}
+	host, ok := s.locate(name)
+	if !ok || host == s.options.Host {
+		return Reply{}, eris.Wrapf(dotterelusher.ErrTaskRefused, "shard %s has no owner at the moment", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timing.CallTimeout.Duration())
+	defer cancel()
+	var reply Reply
+	if err := s.options.Peers.Call(ctx, host, method, call, &reply); err != nil {
+		return Reply{}, peerError(err)
+	}
+	return reply, nil
+}
+
+// locate returns the host that owns the shard, as its peers or the store say.
+func (s *Service) locate(name dottershard.Name) (string, bool) {
+	text := name.String()
+	for _, p := range s.options.Peers.Live() {
+		for _, owned := range p.Shards {
+			if owned == text {
+				return p.Name, true
+			}
+		}
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	host, ok := s.located[name]
+	return host, ok
+}
+
+// ownerFor returns this host's owner of the call's shard. A call for a shard
+// that another host owns is refused, not passed on again.
+func (s *Service) ownerFor(call Call) (*dotterowner.Owner, bool) {
+	name, ok := dottershard.ParseName(call.Shard)
+	if !ok {
+		return nil, false
+	}
+	return s.own(name)
+}
+
+func notOwner(call Call) Reply {
+	return Reply{Code: codeRefused, Message: "this host doesn't own shard " + call.Shard}
+}
--- /dev/null
+++ b/internal/task/dotterservice/handoff.go
@@ -0,0 +1,77 @@
+package dotterservice
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// handoff passes tasks between shards for their owners.
+type handoff struct {
+	service *Service
+}
+
+var _ dotterowner.Handoff = handoff{}
+
+// Targets returns the shards of other failure domains that have workers and an owner.
+func (h handoff) Targets(shard dottershard.Name) []string {
+	document, ok := h.service.options.Configuration.Current()
+	if !ok {
+		return nil
+	}
+	capacities := h.service.capacities(document)
+	var targets []string
+	for _, name := range h.service.allShards() {
+		if name.FailureDomain == shard.FailureDomain || len(capacities[name]) == 0 {
+			continue
+		}
+		if _, located := h.service.locate(name); located {
+			targets = append(targets, name.String())
+		}
+	}
+	return targets
+}
+
+// Adopt asks the owner of target to log the entries.
+func (h handoff) Adopt(ctx context.Context, target string, entries []dotterrecord.Entry) error {
+	reply, err := h.service.call(ctx, MethodAdopt, Call{Shard: target, Entries: entries}, h.service.answerAdopt)
+	if err == nil {
+		err = reply.err()
+	}
+	return ownerError(err)
+}
+
+// Cancel asks the owner of target to cancel tasks that it has taken over.
+func (h handoff) Cancel(ctx context.Context, target string, ids []dottertask.ID) error {
+	reply, err := h.service.call(ctx, MethodCancel, Call{Shard: target, IDs: ids}, h.service.answerCancel)
+	if err == nil {
+		err = reply.err()
+	}
+	return ownerError(err)
+}
+
+// ownerError turns this layer's error into the owner's.
+func ownerError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, dotterelusher.ErrTaskRefused), errors.Is(err, dotterelusher.ErrTaskInvalid):
+		return eris.Wrap(dotterowner.ErrRefused, err.Error())
+	}
+	return eris.Wrap(dotterowner.ErrUnknown, err.Error())
+}
+
+func (s *Service) answerAdopt(ctx context.Context, call Call) Reply {
+	owner, ok := s.ownerFor(call)
+	if !ok {
+		return notOwner(call)
+	}
+	return replyOf(owner.Adopt(ctx, call.Entries))
+}
--- /dev/null
+++ b/internal/task/dotterservice/ownership.go
@@ -0,0 +1,277 @@
+package dotterservice
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// leaseRenewals is how often the store lease is renewed before it lapses.
+const leaseRenewals = 3
+
+// keepLease renews the store lease under which the owner keys stand.
+func (s *Service) keepLease(ctx context.Context, now dotterclock.Millis) {
+	if s.lease != "" && now < s.renewLeaseAt {
+		return
+	}
+	if s.lease != "" {
+		err := s.options.Store.Renew(ctx, s.lease)
+		if errors.Is(err, dotterelusher.ErrStoreLeaseLapsed) {
+			s.lease = ""
+		}
+		if err == nil {
+			s.renewLeaseAt = now + s.timing.StoreLease/leaseRenewals
+		}
+	}
+	if s.lease == "" {
+		lease, err := s.options.Store.Grant(ctx, s.timing.StoreLease)
+		if err != nil {
+			return
+		}
+		s.lease = lease
+		s.renewLeaseAt = now + s.timing.StoreLease/leaseRenewals
+	}
+}
+
+// refreshOwners reads who owns which shard, and notes which have no owner.
+func (s *Service) refreshOwners(ctx context.Context) {
+	entries, _, err := s.options.Store.List(ctx, dottershard.AllOwnersPrefix)
+	if err != nil {
+		return
+	}
+	now := s.options.Clock.Now()
+	located := make(map[dottershard.Name]string, len(entries))
+	for _, e := range entries {
+		name, ok := dottershard.ParseOwnerKey(e.Key)
+		if !ok || s.isLeftover(name, e) {
+			continue
+		}
+		located[name] = hostOf(string(e.Value))
+	}
+	s.mu.Lock()
+	s.located = located
+	s.mu.Unlock()
+	for _, name := range s.allShards() {
+		if _, ok := located[name]; ok {
+			delete(s.vacantSince, name)
+			continue
+		}
+		if _, noted := s.vacantSince[name]; !noted {
+			s.vacantSince[name] = now
+		}
+	}
+}
+
+// isLeftover reports whether e is a key of this process for a shard that it
+// doesn't own, left by a write whose answer was lost, and removes it.
+func (s *Service) isLeftover(name dottershard.Name, e dotterkey.Entry) bool {
+	if _, mine := s.own(name); mine || string(e.Value) != s.writer() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.timing.CallTimeout.Duration())
+	defer cancel()
+	_ = s.options.Store.Delete(ctx, e.Key, e.Version)
+	return true
+}
+
+// claimVacant claims shards that have had no owner for as long as this host has
+// to wait for hosts that come before it.
+func (s *Service) claimVacant(ctx context.Context, now dotterclock.Millis) {
+	if s.lease == "" || !s.alive() {
+		return
+	}
+	for _, name := range s.allShards() {
+		since, vacant := s.vacantSince[name]
+		if !vacant || now < since+s.claimWait(name) {
+			continue
+		}
+		s.claim(ctx, name)
+	}
+}
+
+func (s *Service) alive() bool {
+	select {
+	case <-s.tomb.Dying():
+		return false
+	default:
+		return true
+	}
+}
+
+// claimWait returns how long this host waits before it claims the shard.
+func (s *Service) claimWait(name dottershard.Name) dotterclock.Millis {
+	if _, mine := s.own(name); mine {
+		return 0
+	}
+	wait := dotterclock.Millis(0)
+	if name.FailureDomain != s.options.FailureDomain {
+		wait = s.timing.DomainWait
+	}
+	for i, host := range dottershard.RankHosts(name, s.candidates(name)) {
+		if host == s.options.Host {
+			return wait + dotterclock.Millis(i)*s.timing.RankWait
+		}
+	}
+	return wait
+}
+
+// candidates returns the live hosts of the shard's domain, or, seen from
+// another domain, those of this host's.
+func (s *Service) candidates(name dottershard.Name) []string {
+	domain := name.FailureDomain
+	if domain != s.options.FailureDomain {
+		domain = s.options.FailureDomain
+	}
+	hosts := []string{s.options.Host}
+	for _, p := range s.options.Peers.Live() {
+		if p.FailureDomain == domain && !p.Leaving {
+			hosts = append(hosts, p.Name)
+		}
+	}
+	return hosts
+}
+
+// claim puts this host's name under the owner key, then opens the log. An owner
+// that is still at work here keeps its log and only gets its key back.
+func (s *Service) claim(ctx context.Context, name dottershard.Name) {
+	version, err := s.options.Store.Put(ctx, name.OwnerKey(), []byte(s.writer()), 0, s.lease)
+	if errors.Is(err, dotterelusher.ErrStoreIndeterminate) {
+		entry, readErr := s.options.Store.Get(ctx, name.OwnerKey())
+		if readErr != nil || string(entry.Value) != s.writer() {
+			return
+		}
+		version, err = entry.Version, nil
+	}
+	if err != nil {
+		return
+	}
+	delete(s.vacantSince, name)
+	if s.keepOwner(name, version) {
+		return
+	}
+	owner, err := dotterowner.Open(ctx, s.ownerOptions(name))
+	if err != nil {
+		s.logger().Warn("Shard not opened", zap.String("Shard", name.String()), zap.Error(err))
+		_ = s.options.Store.Delete(ctx, name.OwnerKey(), version)
+		return
+	}
+	s.mu.Lock()
+	s.owners[name] = &ownership{owner: owner, version: version}
+	s.located[name] = s.options.Host
+	s.mu.Unlock()
+}
+
+func (s *Service) keepOwner(name dottershard.Name, version dotterkey.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.owners[name]
+	if ok {
+		o.version = version
+	}
+	return ok
+}
+
+func (s *Service) ownerOptions(name dottershard.Name) dotterowner.Options {
+	return dotterowner.Options{
+		Shard:         name,
+		Writer:        s.writer(),
+		Store:         s.options.Store,
+		Clock:         s.options.Clock,
+		Configuration: s.options.Configuration,
+		Directory:     s.options.Directory,
+		Workers:       s.options.Workers,
+		Placer:        s.options.NewPlacer(),
+		Handoff:       handoff{s},
+		Mine:          func(worker dotterhost.Host) bool { return s.belongs(name, worker) },
+		PoolUse:       s.poolUse,
+		Logger:        s.options.Logger,
+		Metrics:       s.metrics,
+		Limits:        s.options.Limits,
+	}
+}
+
+// dropDead forgets owners that were deposed.
+func (s *Service) dropDead(ctx context.Context) {
+	for _, name := range s.owned() {
+		owner, _ := s.own(name)
+		select {
+		case <-owner.Dead():
+			s.release(ctx, name)
+		default:
+		}
+	}
+}
+
+// release forgets the owner of a shard and removes its key if it is still this host's.
+func (s *Service) release(ctx context.Context, name dottershard.Name) {
+	s.mu.Lock()
+	o, ok := s.owners[name]
+	delete(s.owners, name)
+	s.mu.Unlock()
+	if ok {
+		_ = s.options.Store.Delete(ctx, name.OwnerKey(), o.version)
+	}
+}
+
+// handOver stops the owner of a shard and lets another host claim it.
+func (s *Service) handOver(ctx context.Context, name dottershard.Name) {
+	owner, ok := s.own(name)
+	if !ok {
+		return
+	}
+	owner.Stop()
+	s.release(ctx, name)
+	s.vacantSince[name] = s.options.Clock.Now()
+}
+
+func (s *Service) handOverAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timing.CallTimeout.Duration())
+	defer cancel()
+	for _, name := range s.owned() {
+		s.handOver(ctx, name)
+	}
+	if s.lease != "" {
+		_ = s.options.Store.Revoke(ctx, s.lease)
+	}
+}
+
+// rebalance hands at most one shard over to the host that should own it.
+func (s *Service) rebalance(ctx context.Context, now dotterclock.Millis) {
+	for _, name := range s.owned() {
+		if s.shouldOwn(name) {
+			delete(s.misplaced, name)
+			continue
+		}
+		since, noted := s.misplaced[name]
+		if !noted {
+			s.misplaced[name] = now
+			continue
+		}
+		if now >= since+s.timing.Rebalance {
+			delete(s.misplaced, name)
+			s.handOver(ctx, name)
+			return
+		}
+	}
+}
+
+// shouldOwn reports whether no live host comes before this one for the shard.
+func (s *Service) shouldOwn(name dottershard.Name) bool {
+	if name.FailureDomain == s.options.FailureDomain {
+		return dottershard.RankHosts(name, s.candidates(name))[0] == s.options.Host
+	}
+	for _, p := range s.options.Peers.Live() {
+		if p.FailureDomain == name.FailureDomain && !p.Leaving {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/task/dotterservice/service.go
@@ -0,0 +1,179 @@
+package dotterservice
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// Service is one entry host's part of the pool's tasks.
+type Service struct {
+	options Options
+	timing  Timing
+	metrics *dotterowner.Metrics
+	tomb    tomb.Tomb
+
+	mu       sync.RWMutex
+	owners   map[dottershard.Name]*ownership
+	located  map[dottershard.Name]string // owner of each shard, as last read
+	layouts  map[string]dottershard.Layout
+	peerUse  map[string]dotterowner.PoolUse
+	lastUsed int // round robin over equal shards
+
+	// Everything below belongs to the loop.
+	lease        dotterkey.LeaseID
+	renewLeaseAt dotterclock.Millis
+	vacantSince  map[dottershard.Name]dotterclock.Millis
+	misplaced    map[dottershard.Name]dotterclock.Millis
+	layoutsAt    dotterclock.Millis
+	useAt        dotterclock.Millis
+	usePeer      int
+}
+
+// ownership is a shard that this host owns and the store entry that says so.
+type ownership struct {
+	owner   *dotterowner.Owner
+	version dotterkey.Version
+}
+
+var _ dotterelusher.Tasks = (*Service)(nil)
+
+// New returns a service and registers its methods with the mesh, which must not
+// have started yet. Start starts it.
+func New(options Options) *Service {
+	s := &Service{
+		options:     options,
+		timing:      options.Timing,
+		metrics:     dotterowner.NewMetrics(options.Registerer),
+		owners:      make(map[dottershard.Name]*ownership),
+		located:     make(map[dottershard.Name]string),
+		layouts:     make(map[string]dottershard.Layout),
+		peerUse:     make(map[string]dotterowner.PoolUse),
+		vacantSince: make(map[dottershard.Name]dotterclock.Millis),
+		misplaced:   make(map[dottershard.Name]dotterclock.Millis),
+	}
+	s.handle()
+	return s
+}
+
+// Start starts to survey and own shards.
+func (s *Service) Start() {
+	s.tomb.Go(s.loop)
+}
+
+// Stop hands every shard over: its log is complete, and its owner key is gone,
+// so that another host claims it at once. Attempts go on running meanwhile.
+func (s *Service) Stop() {
+	s.tomb.Kill(nil)
+	_ = s.tomb.Wait()
+}
+
+// writer names this process in the logs of shards.
+func (s *Service) writer() string {
+	return fmt.Sprintf("%s/%d", s.options.Host, s.options.Incarnation)
+}
+
+// hostOf returns the host in a writer's name.
+func hostOf(writer string) string {
+	cut := strings.LastIndexByte(writer, '/')
+	if cut < 0 {
+		return writer
+	}
+	return writer[:cut]
+}
+
+func (s *Service) loop() error {
+	for {
+		s.survey()
+		select {
+		case <-s.tomb.Dying():
+			s.handOverAll()
+			return nil
+		case <-s.options.Clock.After(s.timing.Survey):
+		}
+	}
+}
+
+// survey does one round of the host's share of keeping shards owned.
+func (s *Service) survey() {
+	ctx, cancel := context.WithTimeout(s.tomb.Context(context.Background()), s.timing.CallTimeout.Duration())
+	defer cancel()
+	now := s.options.Clock.Now()
+	s.dropDead(ctx)
+	s.keepLease(ctx, now)
+	s.refreshLayouts(ctx, now)
+	s.refreshOwners(ctx)
+	s.claimVacant(ctx, now)
+	s.rebalance(ctx, now)
+	s.askUse(ctx, now)
+}
+
+func (s *Service) own(shard dottershard.Name) (*dotterowner.Owner, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o, ok := s.owners[shard]
+	if !ok {
+		return nil, false
+	}
+	return o.owner, true
+}
+
+func (s *Service) owned() []dottershard.Name {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	names := make([]dottershard.Name, 0, len(s.owners))
+	for name := range s.owners {
+		names = append(names, name)
+	}
+	sortNames(names)
+	return names
+}
+
+// Shards returns a summary of the shards that this host owns.
+func (s *Service) Shards() []dotterelusher.ShardStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timing.CallTimeout.Duration())
+	defer cancel()
+	var statuses []dotterelusher.ShardStatus
+	for _, name := range s.owned() {
+		o, ok := s.own(name)
+		if !ok {
+			continue
+		}
+		status, err := o.Status(ctx)
+		if err != nil {
+			continue
+		}
+		status.Owner = s.options.Host
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+// Owned returns the names of the shards that this host owns, sorted.
+func (s *Service) Owned() []string {
+	names := s.owned()
+	texts := make([]string, len(names))
+	for i, n := range names {
+		texts[i] = n.String()
+	}
+	return texts
+}
+
+// RetryAfter returns when a refused submission is worth repeating.
+func (s *Service) RetryAfter() dotterclock.Millis {
+	return s.timing.RefusedRetry
+}
+
+func (s *Service) logger() *zap.Logger {
+	return s.options.Logger
+}
--- /dev/null
+++ b/internal/task/dotterservice/submit.go
@@ -0,0 +1,258 @@
+package dotterservice
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// submitTries is the most shards that a submission is offered to.
+const submitTries = 3
+
+// Submit accepts the submissions durably and returns their tasks.
+//
+// Submissions without a key go to one shard together. Each one with a key goes
+// to the shard that its key names, so a call that mixes keys may be accepted in
+// part: it then ends in ErrTaskUnknown and may be repeated with the same keys.
+func (s *Service) Submit(ctx context.Context, submissions []dottersubmission.Submission) ([]dottertask.Task, error) {
+	document, ok := s.options.Configuration.Current()
+	if !ok {
+		return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "no configuration yet")
+	}
+	tasks := make([]dottertask.Task, len(submissions))
+	for i, sub := range submissions {
+		task, err := newTask(document, sub)
+		if err != nil {
+			return nil, eris.Wrapf(err, "submission %d", i)
+		}
+		tasks[i] = task
+	}
+	if reason := s.neverFits(tasks); reason != "" {
+		return nil, eris.Wrap(dotterelusher.ErrTaskInvalid, reason)
+	}
+	return s.submitParts(ctx, document, tasks)
+}
+
+// newTask returns the task that a submission asks for, without a name.
+func newTask(document dotterconfig.Document, sub dottersubmission.Submission) (dottertask.Task, error) {
+	template, ok := document.Template(sub.Template)
+	if !ok {
+		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: no template %q", sub.Template)
+	}
+	if template.Kind != dotterconfig.KindTask {
+		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: %q is not for tasks", sub.Template)
+	}
+	task := dottertask.Task{
+		Team: template.Team, Template: template.Name, Key: sub.Key, Size: template.Size, RunMillis: template.RunMillis,
+		Payload: sub.Payload, Repeatable: template.Repeatable, Urgent: template.Urgent || sub.Urgent,
+		Critical: template.Critical, Rank: template.Rank,
+	}
+	if !sub.Size.IsZero() {
+		task.Size = sub.Size
+	}
+	if sub.RunMillis > 0 {
+		task.RunMillis = sub.RunMillis
+	}
+	if task.Size.IsZero() || !(dotterroom.Room{}).Fits(task.Size) {
+		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Size: %s is not a size", task.Size)
+	}
+	return task, nil
+}
+
+// neverFits returns why some task fits no worker of the pool, or "".
+func (s *Service) neverFits(tasks []dottertask.Task) string {
+	var capacities []dotterroom.Room
+	for _, h := range s.options.Directory.Hosts() {
+		if h.Role == dotterhost.RoleWorker {
+			capacities = append(capacities, h.Capacity)
+		}
+	}
+	if len(capacities) == 0 {
+		return ""
+	}
+	for _, t := range tasks {
+		if !fitsAny(t.Size, capacities) {
+			return "Size: no worker of the pool has room for " + t.Size.String()
+		}
+	}
+	return ""
+}
+
+func fitsAny(size dotterroom.Room, capacities []dotterroom.Room) bool {
+	for _, c := range capacities {
+		if size.Fits(c) {
+			return true
+		}
+	}
+	return false
+}
+
+// part is the submissions of one call that go to one shard.
+type part struct {
+	shard   string // empty: any shard
+	indexes []int
+}
+
+func (s *Service) parts(tasks []dottertask.Task) ([]part, error) {
+	shards := s.allShards()
+	byShard := make(map[string]int)
+	var parts []part
+	for i, t := range tasks {
+		shard := ""
+		if t.Key != "" {
+			name, ok := dottershard.ForKey(shards, t.Team, t.Key)
+			if !ok {
+				return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "no shard is known yet")
+			}
+			shard = name.String()
+		}
+		at, known := byShard[shard]
+		if !known {
+			at = len(parts)
+			byShard[shard] = at
+			parts = append(parts, part{shard: shard})
+		}
+		parts[at].indexes = append(parts[at].indexes, i)
+	}
+	return parts, nil
+}
+
+func (s *Service) submitParts(ctx context.Context, document dotterconfig.Document, tasks []dottertask.Task) ([]dottertask.Task, error) {
+	parts, err := s.parts(tasks)
+	if err != nil {
+		return nil, err
+	}
+	accepted := make([]dottertask.Task, len(tasks))
+	for n, p := range parts {
+		chosen := make([]dottertask.Task, len(p.indexes))
+		for i, index := range p.indexes {
+			chosen[i] = tasks[index]
+		}
+		named, err := s.submitPart(ctx, document, p.shard, chosen)
+		if err != nil && n > 0 {
+			return nil, eris.Wrapf(dotterelusher.ErrTaskUnknown, "accepted in part: %v", err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		for i, index := range p.indexes {
+			accepted[index] = named[i]
+		}
+	}
+	return accepted, nil
+}
+
+func (s *Service) submitPart(ctx context.Context, document dotterconfig.Document, shard string, tasks []dottertask.Task) ([]dottertask.Task, error) {
+	if shard != "" {
+		return s.submitTo(ctx, shard, tasks)
+	}
+	failure := eris.Wrap(dotterelusher.ErrTaskRefused, "no shard can run it at the moment")
+	for i, name := range s.shardsFor(document, tasks) {
+		if i == submitTries {
+			break
+		}
+		named, err := s.submitTo(ctx, name.String(), tasks)
+		if err == nil || !errors.Is(err, dotterelusher.ErrTaskRefused) {
+			return named, err
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
+func (s *Service) submitTo(ctx context.Context, shard string, tasks []dottertask.Task) ([]dottertask.Task, error) {
+	reply, err := s.call(ctx, MethodSubmit, Call{Shard: shard, Tasks: tasks}, s.answerSubmit)
+	if err != nil {
+		return nil, err
+	}
+	if err := reply.err(); err != nil {
+		return nil, err
+	}
+	if len(reply.Tasks) != len(tasks) {
+		return nil, eris.Wrap(dotterelusher.ErrTaskUnknown, "the owner's answer is not whole")
+	}
+	return reply.Tasks, nil
+}
+
+func (s *Service) answerSubmit(ctx context.Context, call Call) Reply {
+	owner, ok := s.ownerFor(call)
+	if !ok {
+		return notOwner(call)
+	}
+	tasks, err := owner.Submit(ctx, call.Tasks)
+	reply := replyOf(err)
+	reply.Tasks = tasks
+	return reply
+}
+
+// shardsFor returns the shards whose workers can run every one of tasks: this
+// host's, then those of its failure domain, then the others.
+func (s *Service) shardsFor(document dotterconfig.Document, tasks []dottertask.Task) []dottershard.Name {
+	capacities := s.capacities(document)
+	var near, same, far []dottershard.Name
+	for _, name := range s.rotatedShards() {
+		if !fitAll(tasks, capacities[name]) {
+			continue
+		}
+		_, mine := s.own(name)
+		switch {
+		case mine && name.FailureDomain == s.options.FailureDomain:
+			near = append(near, name)
+		case name.FailureDomain == s.options.FailureDomain:
+			same = append(same, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	return append(append(near, same...), far...)
+}
+
+// rotatedShards returns every shard, each time beginning with the next one.
+func (s *Service) rotatedShards() []dottershard.Name {
+	shards := s.allShards()
+	if len(shards) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	s.lastUsed++
+	first := s.lastUsed % len(shards)
+	s.mu.Unlock()
+	return append(append([]dottershard.Name(nil), shards[first:]...), shards[:first]...)
+}
+
+// capacities returns the capacities of each shard's workers that take new work.
+func (s *Service) capacities(document dotterconfig.Document) map[dottershard.Name][]dotterroom.Room {
+	capacities := make(map[dottershard.Name][]dotterroom.Room)
+	for _, h := range s.options.Directory.Hosts() {
+		if h.Role != dotterhost.RoleWorker || !h.Live() || document.DomainOut(h.FailureDomain) || document.Drained(h.Name) {
+			continue
+		}
+		layout, ok := s.layout(h.FailureDomain)
+		if !ok {
+			continue
+		}
+		if number, placed := layout.Racks[h.Rack]; placed {
+			name := dottershard.Name{FailureDomain: h.FailureDomain, Number: number}
+			capacities[name] = append(capacities[name], h.Capacity)
+		}
+	}
+	return capacities
+}
+
+func fitAll(tasks []dottertask.Task, capacities []dotterroom.Room) bool {
+	for _, t := range tasks {
+		if !fitsAny(t.Size, capacities) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/task/dottershardlog/log.go
+++ b/internal/task/dottershardlog/log.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		return eris.Wrapf(ErrIndeterminate, "segment %d: %v", segment.Number, err)
 	}
-	if entry.Version == l.ring.version(segment.Number) {
+	if entry.Version <= l.ring.version(segment.Number) {
 		return eris.Wrapf(ErrIndeterminate, "segment %d: not there yet", segment.Number)
 	}
 	found, err := dotterrecord.DecodeSegment(entry.Value)
