Run tasks end to end

Cause: the task service had landed but the daemon refused every task. Change: the daemon builds the service with the placer and the worker client, tells peers which shards it owns, and hands them over when it stops.

--- a/internal/server/dotterdaemon/daemon.go
+++ b/internal/server/dotterdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/platform/dotterstore"
 	"github.com/dotterelusher/dotterelusher/internal/server/dotterapi"
 	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterservice"
 )
 
 const (
@@ -38,7 +39,7 @@
 	store    dotterelusher.Store
 	cluster  *cluster
 	proxy    *dotterproxy.Proxy
-	tasks    taskService
+	tasks    *dotterservice.Service
 	caller   *server
 	operator *server
 	leaving  atomic.Bool
@@ -69,9 +70,7 @@
 	if d.proxy, err = d.newProxy(); err != nil {
 		return err
 	}
-	if d.tasks, err = d.newTasks(); err != nil {
-		return err
-	}
+	d.tasks = d.newTasks()
 	callers := dotterapi.NewCaller(d.tasks, d.proxy, d.notReady, int64(d.settings.Limits.MaxBodyKB)<<10)
 	if d.caller, err = listen(d.settings.CallerListen, callers.Handler()); err != nil {
 		return err
@@ -126,11 +125,14 @@
 	return d.shutdown()
 }
 
-// announce tells peers how many slots are free.
+// announce tells peers how many slots are free and which shards are owned here.
 func (d *Daemon) announce() error {
 	for {
 		free := d.cluster.ledger.FreeSlots()
-		d.cluster.mesh.Announce(func(s dotterpeer.State) dotterpeer.State { return s.WithFreeSlots(free) })
+		shards := d.tasks.Owned()
+		d.cluster.mesh.Announce(func(s dotterpeer.State) dotterpeer.State {
+			return s.WithFreeSlots(free).WithShards(shards)
+		})
 		select {
 		case <-d.life.Dying():
 			return nil
@@ -146,9 +148,9 @@
 	d.cluster.mesh.Announce(func(s dotterpeer.State) dotterpeer.State { return s.WithLeaving() })
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.DrainMillis.Duration())
 	defer cancel()
+	d.tasks.Stop()
 	faults := []error{
 		d.proxy.Drain(ctx),
-		d.tasks.Stop(ctx),
 		d.caller.shutdown(ctx),
 		d.proxy.Close(),
 		d.leave(ctx),
--- a/internal/server/dotterdaemon/tasks.go
+++ b/internal/server/dotterdaemon/tasks.go
@@ -1,45 +1,35 @@
 package dotterdaemon
 
 import (
-	"context"
-
 	"github.com/dotterelusher/dotterelusher"
-	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
-	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
-	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
-	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
+	"github.com/dotterelusher/dotterelusher/internal/platform/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterservice"
 )
 
-// taskService is the task side as the daemon drives it.
-type taskService interface {
-	dotterelusher.Tasks
-	Start()
-	Stop(ctx context.Context) error
-	Usage(ctx context.Context) (dottermessage.UsageAnswer, error)
-}
-
-// noTasks refuses every task.
-type noTasks struct{}
-
-var _ taskService = noTasks{}
-
-func (noTasks) Submit(context.Context, []dottersubmission.Submission) ([]dottertask.Task, error) {
-	return nil, dotterelusher.ErrTaskRefused
-}
-
-func (noTasks) Get(context.Context, dottertask.ID) (dottertask.Task, error) {
-	return dottertask.Task{}, dotterelusher.ErrTaskNotFound
-}
-
-func (noTasks) Cancel(context.Context, []dottertask.ID) (int, error) { return 0, nil }
-func (noTasks) Shards() []dotterelusher.ShardStatus                  { return nil }
-func (noTasks) RetryAfter() dotterclock.Millis                       { return dotterclock.Second }
-func (noTasks) Start()                                               {}
-func (noTasks) Stop(context.Context) error                           { return nil }
-func (noTasks) Usage(context.Context) (dottermessage.UsageAnswer, error) {
-	return dottermessage.UsageAnswer{}, nil
-}
-
-func (d *Daemon) newTasks() (taskService, error) {
-	return noTasks{}, nil
+// newTasks returns the task service, which registers its methods with the mesh.
+func (d *Daemon) newTasks() *dotterservice.Service {
+	limits := dotterowner.DefaultLimits()
+	limits.Lease = d.settings.Timing.WorkerLeaseMillis
+	limits.ListLag = d.settings.Timing.HostListLagMillis
+	limits.Queue = d.settings.Limits.MaxQueuedTasks
+	timing := dotterservice.DefaultTiming()
+	timing.StoreLease = d.settings.Timing.StoreLeaseMillis
+	return dotterservice.New(dotterservice.Options{
+		Host:          d.settings.Host,
+		FailureDomain: d.settings.FailureDomain,
+		Incarnation:   d.cluster.mesh.Identity().Incarnation,
+		Store:         d.store,
+		Peers:         d.cluster.mesh,
+		Configuration: d.cluster.holder,
+		Directory:     d.cluster.directory,
+		Workers:       dotterworker.New(d.settings.Host, dotterworker.DefaultTimeout),
+		Clock:         d.clock,
+		NewPlacer:     func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) },
+		Logger:        d.logger,
+		Registerer:    d.registry,
+		Limits:        limits,
+		Timing:        timing,
+	})
 }
