Measure what one entry host spends as the pool grows

Cause: CAPACITY.md needs slopes from real daemons, not estimates. Ruled out: in-process meshes alone: they leave out the runtime's own memory and the store's client.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@if [ -x spec/run.sh ]; then spec/run.sh; fi
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchtime 1s ./...
+	$(GO) test -run "^$$$$" -bench . -benchtime 1s $$($(GO) list ./... | grep -v /testing/)
 
 demo: build
 	scripts/demo.sh
@@ -41,3 +41,6 @@
 
 clean:
 	rm -rf bin report
+
+capacity:
+	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./internal/testing/dottercapacity
