--- /dev/null
+++ b/internal/server/dotterdaemon/tasks.go
@@ -0,0 +1,35 @@
+package dotterdaemon
+
+import (
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
+	"github.com/dotterelusher/dotterelusher/internal/platform/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterservice"
+)
+
+// newTasks returns the task service, which registers its methods with the mesh.
+func (d *Daemon) newTasks() *dotterservice.Service {
+	limits := dotterowner.DefaultLimits()
+	limits.Lease = d.settings.Timing.WorkerLeaseMillis
+	limits.ListLag = d.settings.Timing.HostListLagMillis
+	limits.Queue = d.settings.Limits.MaxQueuedTasks
+	timing := dotterservice.DefaultTiming()
+	timing.StoreLease = d.settings.Timing.StoreLeaseMillis
+	return dotterservice.New(dotterservice.Options{
+		Host:          d.settings.Host,
+		FailureDomain: d.settings.FailureDomain,
+		Incarnation:   d.cluster.mesh.Identity().Incarnation,
+		Store:         d.store,
+		Peers:         d.cluster.mesh,
+		Configuration: d.cluster.holder,
+		Directory:     d.cluster.directory,
+		Workers:       dotterworker.New(d.settings.Host, dotterworker.DefaultTimeout),
+		Clock:         d.clock,
+		NewPlacer:     func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) },
+		Logger:        d.logger,
+		Registerer:    d.registry,
+		Limits:        limits,
+		Timing:        timing,
+	})
+}
