--- a/internal/entry/dottermeter/meter.go
+++ b/internal/entry/dottermeter/meter.go
@@ -8,6 +8,12 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
 )
 
+// Names of metrics that other packages read.
+const (
+	NameRetries = "dotterelusher_request_retries_total"
+	NameHedges  = "dotterelusher_request_hedges_total"
+)
+
 // Names of labels.
 const (
 	labelTemplate = "Template"
@@ -37,8 +43,8 @@
 			Name: "dotterelusher_requests_in_progress",
 			Help: "Service requests in progress on this host.",
 		}),
-		Retries:  counter("dotterelusher_request_retries_total", "Service requests sent again."),
-		Hedges:   counter("dotterelusher_request_hedges_total", "Slow service requests sent a second time."),
+		Retries:  counter(NameRetries, "Service requests sent again."),
+		Hedges:   counter(NameHedges, "Slow service requests sent a second time."),
 		Forwards: counter("dotterelusher_request_forwards_total", "Service requests forwarded to another failure domain."),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dotterelusher_requests_total",
--- /dev/null
+++ b/internal/tool/dotterload/doc.go
@@ -0,0 +1,2 @@
+// Package dotterload is the command line of the load generator.
+package dotterload
