Keep reserved ports from being given again in the harness

A port was reserved, freed, and could be given to a relay of the same host before the daemon bound it. Change: the reserved ports are freed after the relays have theirs. Ruled out: a fault of the daemon (its exit code is that of a failed bind). Conclusion: not proved by a rerun, since one in some hundred starts is affected.

--- a/internal/testing/dotterharness/entry_host.go
+++ b/internal/testing/dotterharness/entry_host.go
@@ -27,10 +27,12 @@
 func newEntryHost(settings dottersettings.Settings, ip, directory string, accept func(net.Conn) *link) (*EntryHost, error) {
 	h := &EntryHost{Settings: settings, directory: directory}
 	for _, address := range []*string{&h.Settings.CallerListen, &h.Settings.PeerListen, &h.Settings.OperatorListen} {
-		var err error
-		if *address, err = reserve(ip); err != nil {
+		reserved, err := net.Listen("tcp", ip+":0")
+		if err != nil {
 			return nil, err
 		}
+		defer reserved.Close() // once the relays have their ports: the kernel may give a freed one again
+		*address = reserved.Addr().String()
 	}
 	var err error
 	if h.peers, err = newRelay(ip+":0", h.Settings.PeerListen, accept); err != nil {
@@ -96,16 +98,6 @@
 	h.callers.close()
 }
 
-// reserve returns an address on ip with a port that the kernel chose.
-func reserve(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newBody(content []byte) io.Reader {
 	return bytes.NewReader(content)
 }
