--- a/internal/testing/dottercapacity/capacity_test.go
+++ b/internal/testing/dottercapacity/capacity_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
+	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
 	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
 )
 
@@ -20,6 +21,7 @@
 
 // measure runs load between two samples and reports what it cost.
 func measure(b *testing.B, options dotterharness.Options, load func(c *dotterharness.Cluster, end time.Time)) {
+	options.Adjust = func(s *dottersettings.Settings) { s.Timing = dottersettings.Default().Timing }
 	c := dotterharness.NewCluster(b, options)
 	time.Sleep(settleSpan)
 	from := take(b, c)
