--- /dev/null
+++ b/internal/testing/dotterfailure/judge_test.go
@@ -0,0 +1,134 @@
+package dotterfailure
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterattempt"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
+	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
+)
+
+// judgeNoViolations checks that nothing ran beyond its limits and no task ran twice at once.
+func judgeNoViolations(t *testing.T, c *dotterharness.Cluster) {
+	t.Helper()
+	assert.Empty(t, c.Truth().Violations)
+}
+
+// judgeAnswers checks each answer against the executions that the stand-in saw.
+func judgeAnswers(t *testing.T, c *dotterharness.Cluster, answers []dotterharness.Answer, repeatable bool) {
+	t.Helper()
+	judgeNoViolations(t, c)
+	executions := c.Executions()
+	outcomes := map[dotteroutcome.Outcome]int{}
+	for _, a := range answers {
+		outcomes[a.Outcome]++
+		runs := len(executions[a.Request])
+		switch a.Outcome {
+		case dotteroutcome.Done:
+			assert.Positive(t, runs, "%s: Done, but it didn't run", a.Request)
+			assert.True(t, a.Status != 200 || a.Whole(body(a.Request)), "%s: Done with another answer: %.80q", a.Request, a.Body)
+		case dotteroutcome.NotRun:
+			assert.Zero(t, runs, "%s: NotRun, but it ran", a.Request)
+			assert.NotEmpty(t, a.Header.Get("Retry-After"), "%s: NotRun without Retry-After", a.Request)
+		}
+		if !repeatable {
+			assert.LessOrEqual(t, runs, 1, "%s: not repeatable, but it ran more than once", a.Request)
+		}
+	}
+	t.Logf("answers by outcome: %v", outcomes)
+}
+
+// submitted is a batch of tasks and whether they may run more than once.
+type submitted struct {
+	tasks      []dottertask.Task
+	repeatable bool
+}
+
+// submit submits count tasks of a template through the host, again until it takes them.
+func submit(t *testing.T, c *dotterharness.Cluster, h *dotterharness.EntryHost, template string, count int, edit func(*dottersubmission.Submission)) submitted {
+	t.Helper()
+	submissions := make([]dottersubmission.Submission, count)
+	for i := range submissions {
+		submissions[i].Template = template
+		if edit != nil {
+			edit(&submissions[i])
+		}
+	}
+	var batch submitted
+	c.Await("the tasks are accepted", func() bool {
+		tasks, err := c.Submit(h, submissions...)
+		batch.tasks = tasks
+		return err == nil
+	})
+	require.Len(t, batch.tasks, count)
+	batch.repeatable = batch.tasks[0].Repeatable
+	return batch
+}
+
+// awaitFinal waits until every task has ended, as one of the hosts knows it, and returns them.
+func awaitFinal(t *testing.T, c *dotterharness.Cluster, batch submitted, hosts ...*dotterharness.EntryHost) []dottertask.Task {
+	t.Helper()
+	var ended []dottertask.Task
+	for _, submitted := range batch.tasks {
+		var last dottertask.Task
+		var lastErr error
+		final := func() bool {
+			for _, h := range hosts {
+				if last, lastErr = c.Task(h, submitted.ID); lastErr == nil {
+					return last.State.Final()
+				}
+			}
+			return false
+		}
+		c.AwaitWith("task "+string(submitted.ID)+" ends", final, func() any { return []any{last, lastErr} })
+		ended = append(ended, last)
+	}
+	return ended
+}
+
+// judgeTasks checks ended tasks against the attempts that the stand-in saw.
+func judgeTasks(t *testing.T, c *dotterharness.Cluster, batch submitted, ended []dottertask.Task) {
+	t.Helper()
+	judgeNoViolations(t, c)
+	runs := runsByTask(c.Truth())
+	states := map[dottertask.State]int{}
+	for _, e := range ended {
+		states[e.State]++
+		done := 0
+		for _, r := range runs[e.ID] {
+			if r.Phase == dotterattempt.PhaseDone {
+				done++
+			}
+		}
+		if e.State == dottertask.StateDone {
+			assert.Equal(t, 1, done, "%s: Done, with runs %+v", e.ID, runs[e.ID])
+		}
+		assert.LessOrEqual(t, done, 1, "%s: completed more than once", e.ID)
+		if !batch.repeatable {
+			assert.LessOrEqual(t, len(runs[e.ID]), 1, "%s: not repeatable, with runs %+v", e.ID, runs[e.ID])
+		}
+	}
+	t.Logf("tasks by state: %v", states)
+}
+
+// judgeAllDone checks that every task ended as Done.
+func judgeAllDone(t *testing.T, ended []dottertask.Task) {
+	t.Helper()
+	for _, e := range ended {
+		assert.Equal(t, dottertask.StateDone, e.State, "%s: %s", e.ID, e.Reason)
+	}
+}
+
+func runsByTask(truth dottertruth.Truth) map[dottertask.ID][]dottertruth.Run {
+	runs := map[dottertask.ID][]dottertruth.Run{}
+	for _, r := range truth.Runs {
+		runs[r.Task] = append(runs[r.Task], r)
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/testing/dotterfailure/main_test.go
@@ -0,0 +1,20 @@
+package dotterfailure
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
+)
+
+// clustersAtOnce bounds the tests that run at a time; each has up to nine processes.
+const clustersAtOnce = "3"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", clustersAtOnce); err != nil {
+		panic(err)
+	}
+	os.Exit(dotterharness.Run(m))
+}
--- /dev/null
+++ b/internal/testing/dotterfailure/tasks_test.go
@@ -0,0 +1,242 @@
+package dotterfailure
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterattempt"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterfault"
+	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
+	"github.com/dotterelusher/dotterelusher/internal/tool/dotterclient"
+)
+
+// taskFailures are what befalls a cluster of two domains while tasks run.
+// Repeatable tasks must all be done after each of them.
+var taskFailures = map[string]func(c *dotterharness.Cluster){
+	"nothing": func(*dotterharness.Cluster) {},
+	"owner killed and restarted": func(c *dotterharness.Cluster) {
+		h := c.Host("a", 0)
+		h.Kill()
+		c.Start(h)
+		c.AwaitReady(h)
+	},
+	"owner killed for good": func(c *dotterharness.Cluster) {
+		c.Remove(c.Host("a", 0))
+	},
+	"owner frozen past the lease": func(c *dotterharness.Cluster) {
+		h := c.Host("a", 0)
+		h.Freeze()
+		time.Sleep(pastLease + 3*time.Second)
+		h.Thaw()
+	},
+	"lost answers": func(c *dotterharness.Cluster) {
+		c.Fault(dotterfault.PathStore, dotterfault.Store{LoseProbability: 0.2})
+		time.Sleep(4 * time.Second)
+		c.Fault(dotterfault.PathStore, dotterfault.Store{})
+	},
+	"store outage": func(c *dotterharness.Cluster) {
+		c.Fault(dotterfault.PathStore, dotterfault.Store{Outage: dotterfault.OutageHang})
+		time.Sleep(8 * time.Second)
+		c.Fault(dotterfault.PathStore, dotterfault.Store{})
+	},
+	"worker dead": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{Dead: true}, "a-w01")
+		c.Fault(dotterfault.PathHost, dotterfault.HostCall{Name: "a-w01", Removed: true})
+	},
+	"workers restarted": func(c *dotterharness.Cluster) {
+		c.Fault(dotterfault.PathRestart, dotterfault.Selector{Names: []string{"a-w01", "b-w01"}})
+	},
+	"worker cut off and back": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{CutOff: true}, "a-w01")
+		time.Sleep(5 * time.Second)
+		setWorker(c, dotterfault.Worker{}, "a-w01")
+	},
+	"worker frozen and thawed": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{Frozen: true}, "a-w01")
+		time.Sleep(5 * time.Second)
+		setWorker(c, dotterfault.Worker{}, "a-w01")
+	},
+	"commands late and twice": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{DelayMillis: 1200, DuplicateMillis: 700}, "a-w01", "a-w02")
+		time.Sleep(5 * time.Second)
+		setWorker(c, dotterfault.Worker{}, "a-w01", "a-w02")
+	},
+	"worker answers lost": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{LoseAnswers: 20}, "a-w01", "a-w02", "b-w01", "b-w02")
+	},
+	"owner killed while the store loses answers": func(c *dotterharness.Cluster) {
+		c.Fault(dotterfault.PathStore, dotterfault.Store{LoseProbability: 0.3})
+		c.Remove(c.Host("a", 0))
+		time.Sleep(4 * time.Second)
+		c.Fault(dotterfault.PathStore, dotterfault.Store{})
+	},
+	"owner killed while a worker is cut off": func(c *dotterharness.Cluster) {
+		setWorker(c, dotterfault.Worker{CutOff: true}, "a-w01")
+		c.Remove(c.Host("a", 0))
+		time.Sleep(6 * time.Second)
+		setWorker(c, dotterfault.Worker{}, "a-w01")
+	},
+	"owner frozen through a store outage": func(c *dotterharness.Cluster) {
+		h := c.Host("a", 0)
+		h.Freeze()
+		c.Fault(dotterfault.PathStore, dotterfault.Store{Outage: dotterfault.OutageDrop})
+		time.Sleep(pastLease)
+		c.Fault(dotterfault.PathStore, dotterfault.Store{})
+		time.Sleep(pastLease)
+		h.Thaw()
+	},
+}
+
+// TestTasksEndOnceUnderFailure wants every accepted task to end exactly once,
+// repeatable ones as done, and the others to be started at most once.
+func TestTasksEndOnceUnderFailure(t *testing.T) {
+	for name, fail := range taskFailures {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := dotterharness.NewCluster(t, twoDomains())
+			repeatable := submit(t, c, c.Host("a", 0), "reweighting", 60, nil)
+			once := submit(t, c, c.Host("a", 0), "settlement", 30, nil)
+			fail(c)
+			survivors := []*dotterharness.EntryHost{c.Host("b", 0), c.Host("a", 0)}
+			ended := awaitFinal(t, c, repeatable, survivors...)
+			judgeTasks(t, c, repeatable, ended)
+			judgeAllDone(t, ended)
+			judgeTasks(t, c, once, awaitFinal(t, c, once, survivors...))
+		})
+	}
+}
+
+// TestSubmissionInOutageIsRefused wants a submission to be refused as not run
+// while the store is away, and running tasks to go on.
+func TestSubmissionInOutageIsRefused(t *testing.T) {
+	t.Parallel()
+	c := dotterharness.NewCluster(t, twoDomains())
+	h := c.Host("a", 0)
+	batch := submit(t, c, h, "reweighting", 20, nil)
+	c.Fault(dotterfault.PathStore, dotterfault.Store{Outage: dotterfault.OutageRefuse})
+	c.Await("a submission is refused", func() bool {
+		_, err := c.Submit(h, dottersubmission.Submission{Template: "reweighting"})
+		var refusal *dotterclient.Refusal
+		return errors.As(err, &refusal) && refusal.Answer.Outcome == dotteroutcome.NotRun && refusal.Answer.RetryAfterMillis > 0
+	})
+	c.Await("running tasks end in the outage", func() bool {
+		for _, r := range c.Truth().Runs {
+			if r.Phase == dotterattempt.PhaseDone {
+				return true
+			}
+		}
+		return false
+	})
+	c.Fault(dotterfault.PathStore, dotterfault.Store{})
+	ended := awaitFinal(t, c, batch, h)
+	judgeTasks(t, c, batch, ended)
+	judgeAllDone(t, ended)
+}
+
+// TestDomainOutMovesTasks wants no start in a domain three seconds after it
+// was taken out, and its long repeatable tasks to resume elsewhere from their
+// checkpoints.
+func TestDomainOutMovesTasks(t *testing.T) {
+	t.Parallel()
+	c := dotterharness.NewCluster(t, twoDomains())
+	long := func(s *dottersubmission.Submission) { s.RunMillis = 15_000 }
+	batch := submit(t, c, c.Host("a", 0), "reweighting", 30, long)
+	c.Await("tasks run in the domain", func() bool { return running(c, "a") > 0 })
+	c.SetDomain(c.Host("b", 0), "a", true)
+	at := c.Truth().Now
+	ended := awaitFinal(t, c, batch, c.Host("b", 0))
+	judgeTasks(t, c, batch, ended)
+	judgeAllDone(t, ended)
+	resumed := 0
+	for _, r := range c.Truth().Runs {
+		assert.False(t, r.FailureDomain == "a" && r.StartedAt > at+outSpan, "%s started on %s after the domain was out", r.Task, r.Worker)
+		if r.ResumeFrom != "" {
+			resumed++
+		}
+	}
+	assert.Positive(t, resumed, "no task resumed from a checkpoint")
+}
+
+// TestBlackHoleWorker wants a worker that fails everything to be left alone and every task to be done.
+func TestBlackHoleWorker(t *testing.T) {
+	t.Parallel()
+	c := dotterharness.NewCluster(t, twoDomains())
+	setWorker(c, dotterfault.Worker{FailStarts: true}, "a-w01")
+	batch := submit(t, c, c.Host("a", 0), "reweighting", 200, nil)
+	ended := awaitFinal(t, c, batch, c.Host("a", 0))
+	judgeTasks(t, c, batch, ended)
+	judgeAllDone(t, ended)
+	failed := 0
+	for _, r := range c.Truth().Runs {
+		if r.Worker == "a-w01" {
+			failed++
+		}
+	}
+	t.Logf("attempts lost to the worker: %d", failed)
+}
+
+// TestTaskThatFailsEverywhere wants such a task to end as failed after its attempts.
+func TestTaskThatFailsEverywhere(t *testing.T) {
+	t.Parallel()
+	c := dotterharness.NewCluster(t, twoDomains())
+	fails := func(s *dottersubmission.Submission) { s.Payload = "Fail" }
+	bad := submit(t, c, c.Host("a", 0), "reweighting", 5, fails)
+	good := submit(t, c, c.Host("a", 0), "reweighting", 30, nil)
+	for _, e := range awaitFinal(t, c, bad, c.Host("a", 0)) {
+		assert.EqualValues(t, "Failed", e.State)
+		assert.NotEmpty(t, e.Reason)
+	}
+	ended := awaitFinal(t, c, good, c.Host("a", 0))
+	judgeTasks(t, c, good, ended)
+	judgeAllDone(t, ended)
+}
+
+// TestWrongSizesKeepRoom wants no worker's room exceeded when true run times
+// are off and commands come twice.
+func TestWrongSizesKeepRoom(t *testing.T) {
+	t.Parallel()
+	c := dotterharness.NewCluster(t, twoDomains())
+	setWorker(c, dotterfault.Worker{DuplicateMillis: 300}, "a-w01", "a-w02", "b-w01", "b-w02")
+	wrong := func(s *dottersubmission.Submission) { s.Payload = "RunTimes=3 UseTimes=2" }
+	batch := submit(t, c, c.Host("a", 0), "reweighting", 80, wrong)
+	ended := awaitFinal(t, c, batch, c.Host("a", 0))
+	judgeTasks(t, c, batch, ended)
+	judgeAllDone(t, ended)
+	for _, w := range c.Truth().Workers {
+		require.True(t, w.MaxHeld.Fits(w.Capacity), "%s held %v of %v", w.Name, w.MaxHeld, w.Capacity)
+		t.Logf("%s: held %v, used %v of %v", w.Name, w.MaxHeld, w.MaxUsed, w.Capacity)
+	}
+}
+
+func twoDomains() dotterharness.Options {
+	o := dotterharness.DefaultOptions()
+	o.FailureDomains = []string{"a", "b"}
+	o.Configuration = dotterharness.Configuration("a", "b")
+	o.EntryHosts = 1
+	o.Workers = 2
+	o.Services = []string{"refresh=fixed:5"}
+	o.Backends = 1
+	o.StandIn = []string{"--worker-millicores", "32000", "--worker-memory", "64000"}
+	return o
+}
+
+func setWorker(c *dotterharness.Cluster, fault dotterfault.Worker, names ...string) {
+	c.Fault(dotterfault.PathWorkers, dotterfault.WorkersCall{Selector: dotterfault.Selector{Names: names}, Fault: fault})
+}
+
+// running returns how many attempts run in a failure domain.
+func running(c *dotterharness.Cluster, domain string) int {
+	count := 0
+	for _, r := range c.Truth().Runs {
+		if r.FailureDomain == domain && r.EndedAt == 0 {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/testing/dotterharness/calls.go
+++ b/internal/testing/dotterharness/calls.go
@@ -20,8 +20,11 @@
 	"github.com/dotterelusher/dotterelusher/internal/tool/dotterclient"
 )
 
-// callTimeout bounds a call of a test to an entry host.
-const callTimeout = 15 * dotterclock.Second
+// Bounds of a test's calls to an entry host.
+const (
+	callTimeout    = 15 * dotterclock.Second
+	requestTimeout = 4 * dotterclock.Second // longer than the timeout of every template
+)
 
 // changes numbers the configuration changes of this process.
 var changes atomic.Int64
@@ -29,7 +32,7 @@
 // Request sends one service request to the host and returns what came back.
 func (c *Cluster) Request(h *EntryHost, template, id, body string, headers map[string]string) Answer {
 	answer := Answer{Request: id, Host: h.Name()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout.Duration())
 	defer cancel()
 	url := "http://" + h.Settings.CallerListen + "/v1/services/" + template + "/work"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
--- a/internal/testing/dotterharness/cluster.go
+++ b/internal/testing/dotterharness/cluster.go
@@ -120,6 +120,16 @@
 	}
 }
 
+// AwaitWith waits as Await does, and when it was in vain shows what last returns.
+func (c *Cluster) AwaitWith(what string, condition func() bool, last func() any) {
+	c.t.Helper()
+	end := time.Now().Add(Patience)
+	for !condition() {
+		require.True(c.t, time.Now().Before(end), "waited in vain until %s; last: %+v", what, last())
+		time.Sleep(pollSpan)
+	}
+}
+
 // Fault makes a control call of the stand-in.
 func (c *Cluster) Fault(path string, call any) {
 	c.t.Helper()
