--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -220,6 +220,25 @@
 	assert.EqualValues(t, 12*20, s.requests.Load())
 }
 
+// TestLostConnectionKeepsItsPermit: the server may not know yet that the
+// connection is gone, so no other takes its place before it is closed.
+func TestLostConnectionKeepsItsPermit(t *testing.T) {
+	release := make(chan struct{})
+	s := newScripted(t, func(net.Conn, *http.Request, int64) { <-release })
+	defer close(release)
+	c := New(dotterfake.NewPermits(8, 1), dotterclock.NewSystem(), Settings{LateMillis: 60 * dotterclock.Second, DialMillis: 20})
+	_, err := exchangeOnce(soon(t, 20*time.Millisecond), c, s.host(), "r1")
+	require.ErrorIs(t, err, dotterelusher.ErrBackendIndeterminate)
+	for range 3 {
+		_, err = exchangeOnce(soon(t, patience), c, s.host(), "r2")
+		require.ErrorIs(t, err, dotterelusher.ErrBackendNotSent)
+	}
+	assert.EqualValues(t, 1, s.accepted.Load())
+	_ = s.listener.Close()
+	s.closeAll()
+	require.NoError(t, c.Close())
+}
+
 func TestWithdrawnConnectionsAreClosed(t *testing.T) {
 	release := make(chan struct{})
 	s := newScripted(t, func(c net.Conn, _ *http.Request, number int64) {
--- a/internal/entry/dotterconnection/fixture_test.go
+++ b/internal/entry/dotterconnection/fixture_test.go
@@ -44,15 +44,19 @@
 	go s.accept()
 	t.Cleanup(func() {
 		_ = listener.Close()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, c := range s.conns {
-			_ = c.Close()
-		}
+		s.closeAll()
 	})
 	return s
 }
 
+func (s *scripted) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
+}
+
 func (s *scripted) accept() {
 	for {
 		c, err := s.listener.Accept()
--- a/internal/entry/dotterproxy/forward_test.go
+++ b/internal/entry/dotterproxy/forward_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -51,6 +52,7 @@
 		return got.outcome == dotteroutcome.NotRun
 	}, patience, tick)
 	assert.Equal(t, dotterrequest.ReasonNoServer, got.reason(t))
+	assert.Zero(t, testutil.ToFloat64(b.proxy.meter.Forwards))
 }
 
 func TestOutcomesOfForwards(t *testing.T) {
--- a/internal/entry/dotterproxy/outcome_test.go
+++ b/internal/entry/dotterproxy/outcome_test.go
@@ -132,6 +132,38 @@
 	}
 }
 
+// TestWhatMustNotRunTwiceRunsOnce has every server break off its answers, and
+// plenty of budget.
+func TestWhatMustNotRunTwiceRunsOnce(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		headers []string
+	}{
+		"template not repeatable": {"clearance/1", nil},
+		"caller forbids it":       {"refresh/1", []string{dotterrequest.HeaderRepeatable, "false"}},
+		"key":                     {"refresh/1", []string{dotterrequest.HeaderKey, "k"}},
+		"key, store away":         {"allowed/1", []string{dotterrequest.HeaderKey, "k"}},
+		"hedged template":         {"hedged/1", []string{dotterrequest.HeaderRepeatable, "false"}},
+	}
+	for name, tc := range tests {
+		for fault, faulty := range map[string]http.HandlerFunc{"half": half, "abort": abort} {
+			t.Run(name+" "+fault, func(t *testing.T) {
+				var runs atomic.Int64
+				count := func(w http.ResponseWriter, r *http.Request) {
+					runs.Add(1)
+					faulty(w, r)
+				}
+				template, _, _ := strings.Cut(tc.path, "/")
+				f := start(t, manyRetries, backendHost("b1", backend(t, count), template), backendHost("b2", backend(t, count), template))
+				f.claims.SetAway(name == "key, store away")
+				got := f.call(t, http.MethodPost, tc.path, "x", tc.headers...)
+				assert.Equal(t, dotteroutcome.Unknown, got.outcome)
+				assert.EqualValues(t, 1, runs.Load())
+			})
+		}
+	}
+}
+
 // TestLostThenRefusedIsUnknown: once a sending may have run, a later refusal
 // must not make the outcome NotRun.
 func TestLostThenRefusedIsUnknown(t *testing.T) {
@@ -301,6 +333,7 @@
 			before := runs.Load()
 			for range 10 {
 				f.call(t, http.MethodPost, "clearance/1", "")
+				f.call(t, http.MethodPost, "clearance/1", "", dotterrequest.HeaderHop, dotterrequest.HopForwarded)
 			}
 			assert.Equal(t, before, runs.Load())
 		})
