--- /dev/null
+++ b/internal/cluster/dotterslot/ledger_test.go
@@ -0,0 +1,245 @@
+package dotterslot
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+)
+
+const testServer = "server"
+
+func testLedger(clock dotterelusher.Clock, settle dotterclock.Millis) *Ledger {
+	l := NewLedger(clock, settle, NewMetrics(prometheus.NewRegistry()))
+	l.SetServers([]dotterhost.Host{{Name: testServer, Slots: 8, Connections: 64}})
+	return l
+}
+
+// naiveLedger keeps every acknowledgement for good and decides index by index.
+type naiveLedger struct {
+	self  Member
+	view  View
+	acks  map[Member]map[int64]bool
+	taken int
+}
+
+func (n *naiveLedger) usable(count int) int {
+	usable := 0
+	for i := range count {
+		if n.mayUse(i, count) {
+			usable++
+		}
+	}
+	return usable
+}
+
+func (n *naiveLedger) holds(i, count int) bool {
+	current := n.view.Current
+	h := naiveAssign(current.Members, testServer, KindSlot, count)[i]
+	return h != nobody && current.Members[h] == n.self
+}
+
+func (n *naiveLedger) mayUse(i, count int) bool {
+	if !n.holds(i, count) {
+		return false
+	}
+	for _, e := range n.view.Open {
+		h := naiveAssign(e.Members, testServer, KindSlot, count)[i]
+		if e.Number >= n.view.Current.Number || h == nobody || e.Members[h] == n.self {
+			continue
+		}
+		if !n.letGo(e.Members[h], e.Number) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *naiveLedger) letGo(m Member, epoch int64) bool {
+	for _, g := range n.view.Gone {
+		if g == m {
+			return true
+		}
+	}
+	for a := epoch + 1; a <= n.view.Current.Number; a++ {
+		if n.acks[m][a] {
+			return true
+		}
+	}
+	return false
+}
+
+func TestLedgerAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := membersNamed(4)
+		ledger := testLedger(dotterclock.NewManual(1), 0)
+		naive := &naiveLedger{self: all[0], acks: map[Member]map[int64]bool{}}
+		var history []Epoch
+		var permits []dotterelusher.Permit
+		drawMembers := func() []Member {
+			var chosen []Member
+			for i, m := range all {
+				if rapid.Bool().Draw(t, "member") || i == 0 {
+					chosen = append(chosen, m)
+				}
+			}
+			return chosen
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"adopt": func(t *rapid.T) {
+				number := naive.view.Current.Number
+				for range rapid.IntRange(1, 3).Draw(t, "skip") {
+					number++
+					history = append(history, Epoch{Number: number, Members: drawMembers()})
+				}
+				open := max(0, len(history)-1-rapid.IntRange(0, 6).Draw(t, "open"))
+				naive.view = View{Current: history[len(history)-1], Open: history[open : len(history)-1]}
+				if rapid.IntRange(0, 3).Draw(t, "gone") == 0 {
+					naive.view.Gone = []Member{all[3]}
+				}
+				ledger.Adopt(naive.self, naive.view)
+			},
+			"acknowledge": func(t *rapid.T) {
+				m := rapid.SampledFrom(all[1:]).Draw(t, "from")
+				a := rapid.Int64Range(1, naive.view.Current.Number+3).Draw(t, "epoch")
+				if !memberKnown(naive.view, m) {
+					return
+				}
+				if naive.acks[m] == nil {
+					naive.acks[m] = map[int64]bool{}
+				}
+				naive.acks[m][a] = true
+				ledger.Acknowledge(m, a)
+			},
+			"take": func(t *rapid.T) {
+				_, free := ledger.Slots(testServer)
+				p, ok := ledger.Slot(testServer)
+				require.Equal(t, free > 0, ok)
+				if ok {
+					permits = append(permits, p)
+				}
+			},
+			"release": func(t *rapid.T) {
+				if len(permits) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(permits)-1).Draw(t, "which")
+				permits[i].Release()
+				permits = append(permits[:i], permits[i+1:]...)
+			},
+			"": func(t *rapid.T) {
+				naive.checkNow(t, ledger, len(permits))
+			},
+		})
+	})
+}
+
+// memberKnown reports whether a ledger with view remembers m's acknowledgements.
+func memberKnown(view View, m Member) bool {
+	known := view.Current.Has(m)
+	for _, e := range view.Open {
+		known = known || e.Has(m)
+	}
+	return known
+}
+
+func (n *naiveLedger) checkNow(t *rapid.T, ledger *Ledger, permits int) {
+	usable, free := ledger.Slots(testServer)
+	if !n.forgotten(ledger) {
+		require.Equal(t, n.usable(8), usable)
+	}
+	pool := (*ledger.servers.Load())[testServer].slots
+	used := 0
+	for _, i := range pool.indexes {
+		if i.used != nil {
+			used++
+			require.True(t, i.mine)
+		}
+	}
+	require.Equal(t, permits, used+len(pool.strays))
+	require.Equal(t, int64(len(pool.strays)), ledger.strays.Load())
+	if len(pool.strays) > 0 {
+		require.Zero(t, free, "a stray takes the first free index")
+		require.Less(t, ledger.acknowledged, n.view.Current.Number)
+	} else {
+		require.Equal(t, n.view.Current.Number, ledger.acknowledged)
+	}
+}
+
+// forgotten reports whether the ledger has dropped acknowledgements of a member
+// that was in no open epoch for a while; it may then wait where it need not.
+func (n *naiveLedger) forgotten(ledger *Ledger) bool {
+	for m, epochs := range n.acks {
+		if len(epochs) != len(ledger.acks[m]) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestWithdrawnAndMoved(t *testing.T) {
+	ledger := testLedger(dotterclock.NewManual(1), 0)
+	members := membersNamed(2)
+	ledger.Adopt(members[0], View{Current: Epoch{1, members[:1]}})
+	var permits []dotterelusher.Permit
+	for range 8 {
+		p, ok := ledger.Slot(testServer)
+		require.True(t, ok)
+		permits = append(permits, p)
+	}
+	ledger.Adopt(members[0], View{Current: Epoch{2, members}, Open: []Epoch{{1, members[:1]}}})
+	var withdrawn, kept []dotterelusher.Permit
+	for _, p := range permits {
+		select {
+		case <-p.Withdrawn():
+			withdrawn = append(withdrawn, p)
+		default:
+			kept = append(kept, p)
+		}
+	}
+	require.Len(t, withdrawn, 4)
+	require.EqualValues(t, 1, ledger.AcknowledgedBy(1))
+	for _, p := range kept {
+		p.Release()
+	}
+	require.EqualValues(t, 2, ledger.AcknowledgedBy(1), "what is in flight moved to what is kept")
+	_, ok := ledger.Slot(testServer)
+	require.False(t, ok, "the withdrawn requests occupy the whole share")
+}
+
+func TestGoneSettles(t *testing.T) {
+	clock := dotterclock.NewManual(1)
+	ledger := testLedger(clock, 2*dotterclock.Second)
+	former := Member{"host-0", 1}
+	again := Member{"host-0", 2}
+	ledger.Adopt(again, View{
+		Current: Epoch{2, []Member{again}},
+		Open:    []Epoch{{1, []Member{former}}},
+		Gone:    []Member{former},
+	})
+	usable, _ := ledger.Slots(testServer)
+	require.Zero(t, usable)
+	require.False(t, ledger.LetGo(former, 1))
+	clock.Advance(2 * dotterclock.Second)
+	ledger.Refresh()
+	usable, _ = ledger.Slots(testServer)
+	require.Equal(t, 8, usable)
+}
+
+func BenchmarkSlot(b *testing.B) {
+	ledger := testLedger(dotterclock.NewSystem(), 0)
+	members := membersNamed(1)
+	ledger.Adopt(members[0], View{Current: Epoch{1, members}})
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if p, ok := ledger.Slot(testServer); ok {
+				p.Release()
+			}
+		}
+	})
+}
