--- a/internal/cluster/dotterrevision/editor.go
+++ b/internal/cluster/dotterrevision/editor.go
@@ -49,24 +49,23 @@
 // ConflictError, ErrEditInvalid, ErrEditUnavailable, ErrEditUnknown or what
 // edit.Change returned; after any but ErrEditUnknown nothing was changed.
 func (e *Editor) Edit(ctx context.Context, edit Edit) (dotterconfig.Document, error) {
-	sent := false // whether a write may have taken effect without our knowing
+	var a attempts
 	retry := firstEditRetry
 	for {
-		document, done, err := e.attempt(ctx, edit)
+		document, done, err := e.attempt(ctx, edit, &a)
 		if done {
 			return document, err
 		}
-		sent = sent || errors.Is(err, dotterelusher.ErrStoreIndeterminate)
 		if !e.pause(ctx, retry/2+rand.N(retry)) {
-			return dotterconfig.Document{}, unfinished(sent)
+			return dotterconfig.Document{}, a.unfinished()
 		}
 		retry = min(2*retry, lastEditRetry)
 	}
 }
 
 // attempt reads the document and makes one write. Unless done, the edit is to be
-// tried again: the store failed, or the write lost a race.
-func (e *Editor) attempt(ctx context.Context, edit Edit) (document dotterconfig.Document, done bool, err error) {
+// tried again: the store failed or answered an old value, or the write lost a race.
+func (e *Editor) attempt(ctx context.Context, edit Edit, a *attempts) (document dotterconfig.Document, done bool, err error) {
 	current, version, err := e.current(ctx)
 	if err != nil {
 		return document, false, err
@@ -74,18 +73,20 @@
 	if made(current, edit.ChangeID) {
 		return current, true, nil
 	}
+	if a.outdated(version) {
+		return document, false, nil
+	}
 	next, err := e.remake(current, edit)
 	if err != nil {
-		return document, true, err
+		return document, a.final(version), err
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return document, true, eris.Wrap(ErrEditInvalid, err.Error())
 	}
-	if _, err := e.store.Put(ctx, dotterconfig.Key, value, version, ""); err != nil {
-		return document, false, err
-	}
-	return next, true, nil
+	_, err = e.store.Put(ctx, dotterconfig.Key, value, version, "")
+	a.wrote(version, err)
+	return next, err == nil, err
 }
 
 // current returns the document in the store; without one it is empty at version zero.
@@ -162,14 +163,6 @@
 	return slices.ContainsFunc(document.Changes, func(c dotterconfig.Change) bool { return c.ChangeID == id })
 }
 
-// unfinished returns the error of an edit whose time has run out.
-func unfinished(sent bool) error {
-	if sent {
-		return ErrEditUnknown
-	}
-	return ErrEditUnavailable
-}
-
 func (e *Editor) pause(ctx context.Context, span dotterclock.Millis) bool {
 	select {
 	case <-ctx.Done():
