Cluster: heartbeats within their budget, silent links found by unanswered calls

Change: a change of load alone is a small field; the span between beats grows with the number of links of a kind, counted with 170 B on the wire per beat. An unanswered call makes the link prove itself within 1 s, since beats to other domains are up to 6 s apart at that size. A peer that is dialled through another address than its own is no longer dialled again while linked.

--- a/internal/cluster/dotterpeer/beat.go
+++ b/internal/cluster/dotterpeer/beat.go
@@ -8,8 +8,10 @@
 	methodBeat  = "Beat"
 )
 
-// beat is a heartbeat.
+// beat is a heartbeat. What is absent is as it was in the last one on this link.
 type beat struct {
-	Period dotterclock.Millis `json:",omitempty"` // span until the next beat; absent: as before
-	State  *State             `json:",omitempty"` // absent: as before on this link
+	Period    dotterclock.Millis `json:",omitempty"` // span until the next beat
+	State     *State             `json:",omitempty"`
+	FreeSlots *int               `json:",omitempty"` // when nothing else of the state has changed
+	Ask       bool               `json:",omitempty"` // asks for a beat at once
 }
--- a/internal/cluster/dotterpeer/doc.go
+++ b/internal/cluster/dotterpeer/doc.go
@@ -8,16 +8,22 @@
 //
 // Both ends of a link send heartbeats. A heartbeat says when the next one is
 // due and carries the sender's State only when that has changed since the last
-// one on this link, so that an idle link costs some sixty bytes a heartbeat. A
+// one on this link, so that an idle link costs some fifty bytes a heartbeat. A
 // change that others wait for (configuration revision, membership epoch and
 // acknowledgement, shards, leaving) is sent at once; a change of load waits for
-// the next heartbeat and is sent only if it is large. Links within a failure
-// domain beat at BeatPeriod. Links to other failure domains beat the slower the
-// more there are, so that the whole stays within beatBudget.
+// the next heartbeat and is sent only if it is large. The more links there are,
+// the longer the span between two heartbeats, so that the whole stays within
+// beatBudget; links within the failure domain and to others are counted apart,
+// since the former are fewer and matter more.
+//
+// Weighed against this direct fan-out: relaying a summary of each failure domain
+// over a few links. It costs more bytes for the same age, unless each host
+// depends on a single relay per failure domain, and adds a hop.
 //
 // A connection can go silent for good while the kernel still believes in it. A
 // link whose heartbeats stay away for silentBeats periods is closed and dialled
-// again.
+// again; one on which a call was not answered in time is closed unless the other
+// side sends a heartbeat within proofTimeout of being asked for one.
 //
 // An answer that never comes leaves the caller with ErrPeerIndeterminate; only
 // a call for which there was no link, or which the other side refused for want
--- a/internal/cluster/dotterpeer/link.go
+++ b/internal/cluster/dotterpeer/link.go
@@ -28,7 +28,7 @@
 type link struct {
 	mesh   *Mesh
 	conn   *jsonrpc2.Conn
-	dialed bool // by this host
+	dialed string // the address that this host dialled; empty if the other one did
 	since  dotterclock.Millis
 	slots  chan struct{} // one element for each call being handled
 	opened chan struct{} // closed once conn is set
@@ -44,11 +44,12 @@
 	sent   State              // state last sent on this link
 	told   bool               // whether sent is valid
 	pace   dotterclock.Millis // period last announced by this side
+	doubt  dotterclock.Millis // since when the other side is to prove that it hears; 0: not
 }
 
 var _ jsonrpc2.Handler = (*link)(nil)
 
-func newLink(m *Mesh, dialed bool) *link {
+func newLink(m *Mesh, dialed string) *link {
 	now := m.clock.Now()
 	return &link{
 		mesh:   m,
@@ -99,19 +100,31 @@
 	if r.Params == nil || json.Unmarshal(*r.Params, &b) != nil {
 		return
 	}
+	told := l.applyBeat(b)
+	if b.Ask {
+		l.hasten()
+	}
+	if b.State != nil && told.Identity.Name != "" {
+		l.mesh.observe(told)
+	}
+}
+
+// applyBeat takes in a heartbeat and returns the state it leads to.
+func (l *link) applyBeat(b beat) PeerState {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.heard = l.mesh.clock.Now()
+	l.doubt = 0
 	if b.Period > 0 {
 		l.period = b.Period
 	}
 	if b.State != nil {
 		l.state = *b.State
 	}
-	told := PeerState{Identity: l.remote, State: l.state}
-	l.mu.Unlock()
-	if b.State != nil && told.Identity.Name != "" {
-		l.mesh.observe(told)
+	if b.FreeSlots != nil {
+		l.state.FreeSlots = *b.FreeSlots
 	}
+	return PeerState{Identity: l.remote, State: l.state}
 }
 
 func (l *link) receiveHello(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
@@ -187,10 +200,22 @@
 	case errors.As(err, &remote):
 		return &RemoteError{Host: l.identity().Name, Method: method, Message: remote.Message}
 	default:
+		l.suspect()
 		return eris.Wrap(dotterelusher.ErrPeerIndeterminate, err.Error())
 	}
 }
 
+// suspect makes the other side prove soon that it hears, because it did not
+// answer a call in time.
+func (l *link) suspect() {
+	l.mu.Lock()
+	if l.doubt == 0 {
+		l.doubt = l.mesh.clock.Now()
+	}
+	l.mu.Unlock()
+	l.hasten()
+}
+
 // run ends the link unless it is kept in time, and then sends heartbeats for as
 // long as it lasts.
 func (l *link) run(dying <-chan struct{}) {
@@ -216,7 +241,7 @@
 		case <-l.conn.DisconnectNotify():
 			return
 		case <-l.poke:
-		case <-l.mesh.clock.After(jitter(l.mesh.pace(l.identity()))):
+		case <-l.mesh.clock.After(l.nextWait()):
 		}
 		if l.silent() {
 			l.mesh.metrics.silent.Inc()
@@ -226,11 +251,24 @@
 	}
 }
 
+// nextWait returns the span until the next heartbeat, or until a suspected
+// link has to have proved itself.
+func (l *link) nextWait() dotterclock.Millis {
+	pace := jitter(l.mesh.pace(l.identity()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.doubt > 0 {
+		return min(pace, proofTimeout)
+	}
+	return pace
+}
+
 // silent reports whether the other side's heartbeats stay away.
 func (l *link) silent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mesh.clock.Now()-l.heard > silentBeats*l.period
+	now := l.mesh.clock.Now()
+	return now-l.heard > silentBeats*l.period || (l.doubt > 0 && now-l.doubt >= proofTimeout)
 }
 
 // sendBeat sends one heartbeat and reports whether the link still works.
@@ -244,16 +282,21 @@
 func (l *link) nextBeat(state State, pace dotterclock.Millis) beat {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var b beat
+	b := beat{Ask: l.doubt > 0}
 	if pace != l.pace {
 		b.Period = pace
 		l.pace = pace
 	}
-	if !l.told || state.urgent(l.sent) || state.loadMoved(l.sent) {
+	switch {
+	case !l.told || state.urgent(l.sent):
 		b.State = &state
-		l.sent = state
-		l.told = true
+	case state.loadMoved(l.sent):
+		b.FreeSlots = &state.FreeSlots
+	default:
+		return b
 	}
+	l.sent = state
+	l.told = true
 	return b
 }
 
--- a/internal/cluster/dotterpeer/mesh.go
+++ b/internal/cluster/dotterpeer/mesh.go
@@ -20,15 +20,18 @@
 
 // Pace of heartbeats.
 const (
-	// BeatPeriod is the span between two heartbeats within a failure domain.
+	// BeatPeriod is the shortest span between two regular heartbeats.
 	BeatPeriod = dotterclock.Second
 	// silentBeats is the number of periods after which a link without heartbeats is closed.
 	silentBeats = 3
-	// beatBytes is the size of a heartbeat that tells of no change.
-	beatBytes = 64
-	// beatBudget is the number of bytes a second that heartbeats to other
-	// failure domains may cost, sent and received.
-	beatBudget = 3000
+	// proofTimeout is how long a link that is suspected to be silent has to prove itself.
+	proofTimeout = dotterclock.Second
+	// beatBytes is what a small heartbeat costs on the wire, headers and the
+	// transport's acknowledgement included.
+	beatBytes = 170
+	// beatBudget is the number of bytes a second that heartbeats within the
+	// failure domain may cost, sent and received, and those to others again.
+	beatBudget = 3500
 	// dialPeriod is the span between two looks at which addresses are to be dialled.
 	dialPeriod = 100 * dotterclock.Millis(1)
 	// handshakeTimeout bounds dialling and the exchange of identities.
@@ -190,20 +193,19 @@
 	return links
 }
 
-// pace returns the span between two heartbeats to remote.
+// pace returns the span between two heartbeats to remote: the longer the more
+// links there are of its kind, within the failure domain or to others.
 func (m *Mesh) pace(remote Identity) dotterclock.Millis {
-	if remote.FailureDomain == m.self.FailureDomain {
-		return BeatPeriod
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	distant := 0
+	near := remote.FailureDomain == m.self.FailureDomain
+	alike := 0
 	for _, l := range m.links {
-		if l.identity().FailureDomain != m.self.FailureDomain {
-			distant++
+		if near == (l.identity().FailureDomain == m.self.FailureDomain) {
+			alike++
 		}
 	}
-	needed := dotterclock.Second * dotterclock.Millis(2*beatBytes*distant) / beatBudget
+	needed := dotterclock.Second * dotterclock.Millis(2*beatBytes*alike) / beatBudget
 	return max(BeatPeriod, needed)
 }
 
@@ -225,12 +227,12 @@
 			m.pause(dialPeriod)
 			continue
 		}
-		m.start(c, false)
+		m.start(c, "")
 	}
 }
 
 // start runs JSON-RPC on c.
-func (m *Mesh) start(c net.Conn, dialed bool) *link {
+func (m *Mesh) start(c net.Conn, dialed string) *link {
 	l := newLink(m, dialed)
 	stream := jsonrpc2.NewBufferedStream(conn{Conn: c, metrics: m.metrics}, codec{})
 	logger := log.New(logWriter{m.logger}, "", 0)
@@ -284,7 +286,7 @@
 	if former != nil {
 		former.conn.Close()
 	}
-	m.logger.Info("peer link", zap.String("Peer", name), zap.Bool("Dialed", l.dialed))
+	m.logger.Info("peer link", zap.String("Peer", name), zap.String("Dialed", l.dialed))
 	return true
 }
 
@@ -296,10 +298,11 @@
 	if remote.Incarnation != former.identity().Incarnation {
 		return remote.Incarnation > former.identity().Incarnation
 	}
-	if l.dialed == former.dialed || m.clock.Now()-former.since > handshakeTimeout {
+	dialed := l.dialed != ""
+	if dialed == (former.dialed != "") || m.clock.Now()-former.since > handshakeTimeout {
 		return true
 	}
-	return l.dialed == (m.self.Name < remote.Name)
+	return dialed == (m.self.Name < remote.Name)
 }
 
 // dialAll dials every address to which there is no link.
@@ -323,6 +326,7 @@
 	linked := map[string]bool{}
 	for _, l := range m.links {
 		linked[l.identity().Address] = true
+		linked[l.dialed] = true
 	}
 	now := m.clock.Now()
 	var due []string
@@ -362,7 +366,7 @@
 	if err != nil {
 		return err
 	}
-	l := m.start(c, true)
+	l := m.start(c, address)
 	var remote Identity
 	if err := l.conn.Call(ctx, methodHello, m.self, &remote); err != nil {
 		l.conn.Close()
