Cluster: tests of outages, lost answers, expulsion and the host list's proof

Cause: shares must hold without the store, a join whose answer was lost must be made once, and a list that can't be read must prove nothing. Run: go test -race of both packages passes.

--- /dev/null
+++ b/internal/cluster/dotterdirectory/directory_test.go
@@ -0,0 +1,79 @@
+package dotterdirectory
+
+import (
+	"context"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+)
+
+type fakeList struct {
+	hosts []dotterhost.Host
+	err   error
+}
+
+func (f *fakeList) Hosts(context.Context) ([]dotterhost.Host, error) {
+	return f.hosts, f.err
+}
+
+func (f *fakeList) set(err error, names ...string) {
+	f.err = err
+	f.hosts = nil
+	for _, n := range names {
+		f.hosts = append(f.hosts, dotterhost.Host{Name: n})
+	}
+}
+
+func TestAbsence(t *testing.T) {
+	type read struct {
+		err   error
+		names []string
+	}
+	down := dotterelusher.ErrHostListUnavailable
+	tests := map[string]struct {
+		reads  []read // one a second
+		absent bool
+		span   dotterclock.Millis
+	}{
+		"NeverRead":        {reads: []read{{err: down}, {err: down}}},
+		"Listed":           {reads: []read{{names: []string{"h"}}, {names: []string{"h"}}}},
+		"NeverListed":      {reads: []read{{names: []string{"o"}}, {names: []string{"o"}}, {names: []string{"o"}}}, absent: true, span: 2000},
+		"Disappeared":      {reads: []read{{names: []string{"h"}}, {}, {}, {}}, absent: true, span: 2000},
+		"CameBack":         {reads: []read{{names: []string{"h"}}, {}, {names: []string{"h"}}}},
+		"CantBeReadSince":  {reads: []read{{names: []string{"h"}}, {}, {err: down}, {err: down}}, absent: true, span: 0},
+		"CantBeReadBefore": {reads: []read{{names: []string{"h"}}, {err: down}, {err: down}, {}}, absent: true, span: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := dotterclock.NewManual(1)
+			list := &fakeList{}
+			d := New(list, clock, zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+			for _, r := range test.reads {
+				clock.Advance(dotterclock.Second)
+				list.set(r.err, r.names...)
+				d.Refresh(t.Context())
+			}
+			since, until, absent := d.Absence("h")
+			require.Equal(t, test.absent, absent)
+			require.Equal(t, test.span, until-since)
+		})
+	}
+}
+
+func TestKeepsTheLastGoodCopy(t *testing.T) {
+	list := &fakeList{}
+	d := New(list, dotterclock.NewManual(1), zap.NewNop(), NewMetrics(prometheus.NewRegistry()))
+	list.set(nil, "h")
+	changed := d.Changed()
+	d.Refresh(t.Context())
+	<-changed
+	list.set(dotterelusher.ErrHostListUnavailable)
+	d.Refresh(t.Context())
+	require.Len(t, d.Hosts(), 1)
+}
--- a/internal/cluster/dottermember/keeper_test.go
+++ b/internal/cluster/dottermember/keeper_test.go
@@ -62,3 +62,76 @@
 	list.set(false, backend("s"), entry("h1"))
 	require.Eventually(t, func() bool { return h1.usable("s") == 8 }, patience, look)
 }
+
+func TestSharesHoldInAnOutage(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	list := &hostList{}
+	list.set(false, backend("s"), entry("h1"), entry("h2"))
+	h1 := startNode(t, "h1", "127.0.0.1:0", store, list)
+	h2 := startNode(t, "h2", "127.0.0.1:0", store, list)
+	halves := func() bool { return h1.usable("s") == 4 && h2.usable("s") == 4 }
+	require.Eventually(t, halves, patience, look)
+
+	store.SetDown(true)
+	late := startNode(t, "h3", "127.0.0.1:0", store, list, h1.mesh.Identity().Address)
+	require.Eventually(t, func() bool { return len(late.mesh.Live()) > 0 }, patience, look)
+	held := dotterclock.NewSystem()
+	for start := held.Now(); held.Now()-start < 2000; <-held.After(20) { // longer than a lease
+		require.True(t, halves(), "shares hold without the store")
+		require.Zero(t, late.usable("s"), "a process in no record holds nothing")
+	}
+
+	store.SetDown(false)
+	require.Eventually(t, func() bool {
+		return late.usable("s") >= 2 && h1.usable("s")+h2.usable("s")+late.usable("s") == 8
+	}, patience, look)
+}
+
+func TestLostAnswersJoinOnce(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	list := &hostList{}
+	list.set(false, backend("s"))
+	store.LoseAnswers(4)
+	h1 := startNode(t, "h1", "127.0.0.1:0", store, list)
+	require.Eventually(t, func() bool { return h1.usable("s") == 8 }, patience, look)
+	require.EqualValues(t, 1, h1.keeper.Record().Current.Number)
+}
+
+// TestExpelledProcessComesBackAsAnother has a live process marked gone, against
+// the rules: it lets go of everything and joins under a new incarnation.
+func TestExpelledProcessComesBackAsAnother(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	list := &hostList{}
+	list.set(false, backend("s"))
+	h1 := startNode(t, "h1", "127.0.0.1:0", store, list)
+	require.Eventually(t, func() bool { return h1.usable("s") == 8 }, patience, look)
+	first := h1.keeper.Record().Current.Members[0]
+	permit, ok := h1.ledger.Slot("s")
+	require.True(t, ok)
+
+	expel := func(r Record) Record { return r.WithGone(first) }
+	require.NoError(t, h1.keeper.change(t.Context(), kindReclaim, expel))
+	require.Eventually(t, func() bool { return h1.usable("s") == 0 }, patience, look)
+	<-permit.Withdrawn()
+	require.False(t, h1.keeper.Joined())
+	permit.Release()
+	require.Eventually(t, func() bool { return h1.usable("s") == 8 }, patience, look)
+	require.NotEqual(t, first, h1.keeper.Record().Current.Members[0])
+}
+
+func TestProvedUnlisted(t *testing.T) {
+	tests := map[string]struct {
+		since, until, seenAt, lag dotterclock.Millis
+		want                      bool
+	}{
+		"Longer":          {since: 10, until: 41, seenAt: 5, lag: 30, want: true},
+		"AsLong":          {since: 10, until: 40, seenAt: 5, lag: 30},
+		"KnownOnlyLately": {since: 10, until: 100, seenAt: 80, lag: 30},
+		"KnownAfterward":  {since: 10, until: 100, seenAt: 200, lag: 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, provedUnlisted(test.since, test.until, test.seenAt, test.lag))
+		})
+	}
+}
