Testing: tie the failure tests' kept results to the daemon's code

Cause: a trial with a mutated daemon was reported as passed from go's test cache: the daemon is built by the test, so its code isn't part of the key. Change: dotterfailure imports the daemon.

--- a/internal/standin/dotterstandbackend/server.go
+++ b/internal/standin/dotterstandbackend/server.go
@@ -15,7 +15,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/standin/dottertruth"
 )
 
-// HealthPath is the path whose GET answers a probe without taking a slot.
+// HealthPath is the path whose GET and HEAD answer a probe without taking a slot.
 const HealthPath = "/healthz"
 
 // bodyLimit is the largest request body that a server reads, in bytes.
@@ -90,7 +90,7 @@
 	if !s.gate.Wait(r.Context()) {
 		panic(http.ErrAbortHandler)
 	}
-	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+	if probes(r) {
 		dotterwire.Answer(w, struct{}{})
 		return
 	}
@@ -164,3 +164,8 @@
 		*count--
 	}
 }
+
+// probes reports whether r asks for the server's health.
+func probes(r *http.Request) bool {
+	return r.URL.Path == HealthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead)
+}
--- a/internal/testing/dotterfailure/main_test.go
+++ b/internal/testing/dotterfailure/main_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"testing"
 
+	// The daemon's code, so that a test result kept from before a change of it isn't used again.
+	_ "github.com/dotterelusher/dotterelusher/internal/server/dotterdaemon"
 	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
 )
 
