Make the demo run whole, and let submissions repeat when told to

Cause: `make demo` failed: tasks were submitted before any shard had an owner and were refused as not run with Retry-After, which the command line ignored. The harness can leave its relays out: finding out whose connection a relay accepted reads the kernel's tables for every host, and 24 daemons kept 10 cores busy for 5 minutes with it. Ruled out: a daemon that isn't ready before its domain's shards are owned: it would refuse service requests for no reason.

--- a/internal/testing/dottercapacity/capacity_test.go
+++ b/internal/testing/dottercapacity/capacity_test.go
@@ -22,6 +22,7 @@
 // measure runs load between two samples and reports what it cost.
 func measure(b *testing.B, options dotterharness.Options, load func(c *dotterharness.Cluster, end time.Time)) {
 	options.Adjust = func(s *dottersettings.Settings) { s.Timing = dottersettings.Default().Timing }
+	options.Direct = true
 	c := dotterharness.NewCluster(b, options)
 	time.Sleep(settleSpan)
 	from := take(b, c)
--- a/internal/testing/dotterharness/cluster.go
+++ b/internal/testing/dotterharness/cluster.go
@@ -195,9 +195,11 @@
 		for i := range c.options.EntryHosts {
 			settings := c.options.settings(d, hostName(d, i), c.StandIn.Ready.Platform)
 			name := settings.Host
-			h, err := newEntryHost(settings, loopback(number, len(c.Hosts)), directory, func(n net.Conn) *link {
-				return c.accept(n, name)
-			})
+			accept := func(n net.Conn) *link { return c.accept(n, name) }
+			if c.options.Direct {
+				accept = nil
+			}
+			h, err := newEntryHost(settings, loopback(number, len(c.Hosts)), directory, accept)
 			require.NoError(c.t, err)
 			c.Hosts = append(c.Hosts, h)
 		}
--- a/internal/testing/dotterharness/entry_host.go
+++ b/internal/testing/dotterharness/entry_host.go
@@ -23,7 +23,8 @@
 	callers     *relay
 }
 
-// newEntryHost reserves the addresses of an entry host on the loopback address ip.
+// newEntryHost reserves the addresses of an entry host on the loopback address
+// ip; with accept, relays stand between it and the others.
 func newEntryHost(settings dottersettings.Settings, ip, directory string, accept func(net.Conn) *link) (*EntryHost, error) {
 	h := &EntryHost{Settings: settings, directory: directory}
 	for _, address := range []*string{&h.Settings.CallerListen, &h.Settings.PeerListen, &h.Settings.OperatorListen} {
@@ -31,20 +32,29 @@
 		if err != nil {
 			return nil, err
 		}
-		defer reserved.Close() // once the relays have their ports: the kernel may give a freed one again
+		defer reserved.Close() // all at the end: the kernel may give a freed port again
 		*address = reserved.Addr().String()
 	}
+	h.Settings.PeerAdvertise = h.Settings.PeerListen
+	h.Settings.CallerAdvertise = h.Settings.CallerListen
+	if accept == nil {
+		return h, nil
+	}
+	return h, h.relay(ip, accept)
+}
+
+// relay puts relays between the host and the other entry hosts.
+func (h *EntryHost) relay(ip string, accept func(net.Conn) *link) error {
 	var err error
 	if h.peers, err = newRelay(ip+":0", h.Settings.PeerListen, accept); err != nil {
-		return nil, err
+		return err
 	}
 	if h.callers, err = newRelay(ip+":0", h.Settings.CallerListen, accept); err != nil {
-		h.peers.close()
-		return nil, err
+		return err
 	}
 	h.Settings.PeerAdvertise = h.peers.address()
 	h.Settings.CallerAdvertise = h.callers.address()
-	return h, nil
+	return nil
 }
 
 // Name returns the entry host's name.
--- a/internal/testing/dotterharness/options.go
+++ b/internal/testing/dotterharness/options.go
@@ -21,6 +21,7 @@
 	Services       []string // as cmd/standin takes them
 	Configuration  dotterconfig.Document
 	StandIn        []string                       // further flags of the stand-in
+	Direct         bool                           // no relays between entry hosts, so no links can be silenced
 	Adjust         func(*dottersettings.Settings) // changes the settings of every daemon
 }
 
--- a/internal/testing/dotterharness/relay.go
+++ b/internal/testing/dotterharness/relay.go
@@ -39,12 +39,19 @@
 	return r.listener.Addr().String()
 }
 
+// close ends the relay; a nil relay has nothing to end.
 func (r *relay) close() {
+	if r == nil {
+		return
+	}
 	r.listener.Close()
 }
 
 // silence silences the links that the rule names.
 func (r *relay) silence(rule func(from, to string) bool) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.links {
--- a/internal/tool/dotterclient/errors.go
+++ b/internal/tool/dotterclient/errors.go
@@ -1,11 +1,14 @@
 package dotterclient
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
 )
 
 // ErrUnreachable means that the daemon gave no answer.
@@ -26,3 +29,13 @@
 	}
 	return fmt.Sprintf("%s (%s)", r.Answer.Error, r.Answer.Outcome)
 }
+
+// RetryAfter returns when a call that failed with err is worth repeating, or
+// false if it may have run or never is.
+func RetryAfter(err error) (dotterclock.Millis, bool) {
+	var r *Refusal
+	if !errors.As(err, &r) || r.Answer.Outcome != dotteroutcome.NotRun {
+		return 0, false
+	}
+	return r.Answer.RetryAfterMillis, r.Answer.RetryAfterMillis > 0
+}
--- a/internal/tool/dottercommand/task_submit.go
+++ b/internal/tool/dottercommand/task_submit.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/tool/dotterclient"
 )
 
 type taskSubmitCommand struct {
@@ -21,6 +22,7 @@
 	Run          int64  `long:"run" value-name:"MS" description:"expected run time, ms; the template's if left out"`
 	Payload      string `long:"payload" value-name:"TEXT" description:"handed to the worker as it is"`
 	Urgent       bool   `long:"urgent" description:"may evict work of a higher rank number"`
+	Retry        int64  `long:"retry" value-name:"MS" description:"repeat a submission that was not run, when the daemon says so, for at most this long, ms"`
 	Wait         int64  `long:"wait" value-name:"MS" description:"wait at most this long for the tasks to end, ms"`
 
 	Args struct {
@@ -33,7 +35,7 @@
 	p := c.program
 	var answer dottermessage.SubmitAnswer
 	request := dottermessage.SubmitRequest{Submissions: c.submissions()}
-	if err := p.caller().Post(p.ctx, "/v1/tasks", request, &answer); err != nil {
+	if err := c.post(request, &answer); err != nil {
 		return err
 	}
 	if c.Wait > 0 {
@@ -42,6 +44,21 @@
 	return p.print(answer.Tasks, taskRows(answer.Tasks))
 }
 
+// post sends the request, again as long as it is refused as not run and time is left.
+func (c *taskSubmitCommand) post(request dottermessage.SubmitRequest, answer *dottermessage.SubmitAnswer) error {
+	p := c.program
+	deadline := p.clock.Now() + dotterclock.Millis(c.Retry)
+	for {
+		err := p.caller().Post(p.ctx, "/v1/tasks", request, answer)
+		pause, worthwhile := dotterclient.RetryAfter(err)
+		if !worthwhile || p.clock.Now()+pause > deadline {
+			return err
+		}
+		p.progress("not run, repeating in %d ms", pause)
+		<-p.clock.After(pause)
+	}
+}
+
 func (c *taskSubmitCommand) submissions() []dottersubmission.Submission {
 	one := dottersubmission.Submission{
 		Template:  c.Args.Template,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -144,8 +144,8 @@
 done
 
 step "tasks: 40 reweightings, 10 settlements that must not run twice"
-operate task submit reweighting --count 40 --wait 30000 | tail -n 3
-operate task submit settlement --count 10 --wait 30000 | tail -n 3
+operate task submit --retry 20000 reweighting --count 40 --wait 30000 | tail -n 3
+operate task submit --retry 20000 settlement --count 10 --wait 30000 | tail -n 3
 
 step "failure domain a goes out of service; its entry hosts forward"
 operate domain out a
@@ -158,7 +158,7 @@
 wait "${pid_of[c-e2]}" 2>/dev/null || true
 unset 'pid_of[c-e2]'
 for i in 1 2 3; do request c-e1 clearance "demo-kill-$i" "after the kill"; done
-operate task submit reweighting --count 20 --wait 30000 | tail -n 3
+operate task submit --retry 20000 reweighting --count 20 --wait 30000 | tail -n 3
 
 step "the newest decisions of b-e1"
 operate decisions --count 3
