--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -51,19 +51,20 @@
 	clock *dotterclock.Manual
 	store *dottermemory.Store
 
-	mu       sync.Mutex
-	workers  map[string]*fakeWorker // by address
-	hosts    []dotterhost.Host
-	running  map[dottertask.ID]int
-	starts   map[dottertask.ID]int
-	resumed  map[dottertask.ID][]string
-	finished map[dottertask.ID]int
-	overlaps []string
-	overfull []string
-	late     []dotterattempt.Start // starts kept back, to arrive later
-	hold     bool                  // keep the next starts back
-	document dotterconfig.Document
-	allowed  dotterelusher.StartPermission
+	mu            sync.Mutex
+	workers       map[string]*fakeWorker // by address
+	hosts         []dotterhost.Host
+	running       map[dottertask.ID]int
+	starts        map[dottertask.ID]int
+	resumed       map[dottertask.ID][]string
+	finished      map[dottertask.ID]int
+	ranCoreMillis int64 // of attempts whose end some worker could tell
+	overlaps      []string
+	overfull      []string
+	late          []dotterattempt.Start // starts kept back, to arrive later
+	hold          bool                  // keep the next starts back
+	document      dotterconfig.Document
+	allowed       dotterelusher.StartPermission
 }
 
 var workerRoom = dotterroom.Room{MilliCores: 4000, MemoryMB: 4000}
@@ -178,6 +179,7 @@
 	if a.status.Phase == dotterattempt.PhaseRunning {
 		a.status.RanMillis = p.clock.Now() - a.started
 		p.running[a.status.Task]--
+		p.ranCoreMillis += a.status.Size.MilliCores * int64(a.status.RanMillis)
 	}
 }
 
--- /dev/null
+++ b/internal/task/dotterowner/kill_test.go
@@ -0,0 +1,173 @@
+package dotterowner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+// killSteps covers every outward call of an owner from its claim to the last
+// acknowledgement of a short run.
+const killSteps = 45
+
+func TestTakeoverAfterAFaultAtEveryStep(t *testing.T) {
+	for step := 1; step <= killSteps; step++ {
+		for name, f := range map[string]fault{
+			"killed before": {at: step},
+			"killed after":  {at: step, after: true},
+			"frozen before": {at: step, freeze: true},
+			"frozen after":  {at: step, after: true, freeze: true},
+		} {
+			t.Run(fmt.Sprintf("%s call %d", name, step), func(t *testing.T) {
+				t.Parallel()
+				takeOverAfter(t, f)
+			})
+		}
+	}
+}
+
+// takeOverAfter runs tasks, strikes the first owner, and lets a second one finish.
+func takeOverAfter(t *testing.T, f fault) {
+	p := newPool(t, 2)
+	first := newProcess(f)
+	opened := p.tryOpen(p.options("a/1").within(p, first))
+	p.pump(20*dotterclock.Second, func() bool { return len(opened) > 0 || first.hasStruck() && f.freeze })
+	var a *Owner
+	if len(opened) > 0 {
+		a = <-opened
+	}
+	var ids []dottertask.ID
+	if a != nil {
+		ids = p.submitThrough(a, first)
+		p.pump(20*dotterclock.Second, func() bool { return first.hasStruck() || p.allEnded(a, ids) })
+		p.abandon(a, first)
+	}
+	b := p.open(p.options("b/1"))
+	defer b.Stop()
+	p.pass(2 * dotterclock.Second)
+	if f.freeze {
+		first.thaw()
+	}
+	ids = append(ids, p.submit(b, task(true, 200))...)
+	p.pump(120*dotterclock.Second, func() bool { return p.allKnownEnded(b, ids) })
+	p.pass(2 * dotterclock.Second)
+	p.checkTruth()
+	p.checkStarts(b, ids)
+	p.checkCharges(b)
+	if f.freeze && a == nil {
+		a = <-opened
+	}
+	if a != nil {
+		p.pump(20*dotterclock.Second, func() bool { return isDead(a) })
+		require.ErrorIs(t, a.Err(), ErrDeposed)
+	}
+}
+
+// tryOpen opens an owner beside the test; a nil one could not be opened.
+func (p *fakePool) tryOpen(options Options) chan *Owner {
+	opened := make(chan *Owner, 1)
+	go func() {
+		o, err := Open(context.Background(), options)
+		if err != nil {
+			o = nil
+		}
+		opened <- o
+	}()
+	return opened
+}
+
+func isDead(o *Owner) bool {
+	select {
+	case <-o.Dead():
+		return true
+	default:
+		return false
+	}
+}
+
+// submitThrough submits a few tasks unless the process is struck first.
+func (p *fakePool) submitThrough(o *Owner, process *process) []dottertask.ID {
+	tasks := append(many(3, task(true, 300)), many(3, task(false, 300))...)
+	results := make(chan []dottertask.Task, 1)
+	go func() {
+		named, _ := o.Submit(p.t.Context(), tasks)
+		results <- named
+	}()
+	var named []dottertask.Task
+	answered := false
+	p.pump(20*dotterclock.Second, func() bool {
+		select {
+		case named = <-results:
+			answered = true
+		default:
+		}
+		return answered || process.hasStruck()
+	})
+	var ids []dottertask.ID
+	for _, t := range named {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+func (p *fakePool) allEnded(o *Owner, ids []dottertask.ID) bool {
+	for _, id := range ids {
+		t, _, err := o.Get(p.t.Context(), id)
+		if err != nil || !t.State.Final() {
+			return false
+		}
+	}
+	return len(ids) > 0
+}
+
+// allKnownEnded reports whether every accepted task, and every other that the
+// shard knows, has ended.
+func (p *fakePool) allKnownEnded(o *Owner, ids []dottertask.ID) bool {
+	for _, id := range ids {
+		t, _, err := o.Get(p.t.Context(), id)
+		require.NoError(p.t, err, "accepted task %s is lost", id)
+		if !t.State.Final() {
+			return false
+		}
+	}
+	status, err := o.Status(p.t.Context())
+	return err == nil && status.Queued == 0 && status.Running == 0
+}
+
+// checkStarts checks that unrepeatable tasks started at most once, and that
+// what is said to be done was done once.
+func (p *fakePool) checkStarts(o *Owner, ids []dottertask.ID) {
+	p.t.Helper()
+	for _, id := range ids {
+		t, _, err := o.Get(p.t.Context(), id)
+		require.NoError(p.t, err)
+		p.mu.Lock()
+		starts, finished := p.starts[id], p.finished[id]
+		p.mu.Unlock()
+		if !t.Repeatable {
+			require.LessOrEqual(p.t, starts, 1, "%s is not repeatable", id)
+		}
+		if t.State == dottertask.StateDone {
+			require.Equal(p.t, 1, finished, "%s", id)
+		}
+	}
+}
+
+// checkCharges checks that what is charged is what the workers ran.
+func (p *fakePool) checkCharges(o *Owner) {
+	p.t.Helper()
+	totals, err := o.Totals(p.t.Context())
+	require.NoError(p.t, err)
+	charged := int64(0)
+	for _, total := range totals {
+		charged += total.CoreMillis
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Equal(p.t, p.ranCoreMillis, charged)
+}
--- a/internal/task/dottershardlog/log.go
+++ b/internal/task/dottershardlog/log.go
@@ -25,6 +25,9 @@
 	LiveBytes = 7 << 20
 	// BatchBytes is about the most that the records of one group commit take.
 	BatchBytes = 384 << 10
+	// claimTries bounds how often an unresolved claim is tried; one that is given
+	// up and got in all the same is an empty segment.
+	claimTries = 3
 	// readTries bounds how often a ring is read that changes meanwhile.
 	readTries = 5
 )
@@ -109,17 +112,18 @@
 // claim writes the first segment of the new epoch and resolves a lost answer.
 func (l *Log) claim(ctx context.Context, ledger *dotterledger.Ledger) error {
 	segment := l.Seal(ledger, nil, l.sequence)
-	for {
-		err := l.Write(ctx, segment)
-		if errors.Is(err, ErrIndeterminate) && ctx.Err() == nil {
-			continue
-		}
-		if err != nil {
-			return err
+	var err error
+	for range claimTries {
+		err = l.Write(ctx, segment)
+		if !errors.Is(err, ErrIndeterminate) {
+			break
 		}
-		l.Applied(ledger, segment)
-		return nil
 	}
+	if err != nil {
+		return err
+	}
+	l.Applied(ledger, segment)
+	return nil
 }
 
 // Seal returns the next segment: what must be carried forward, then records.
@@ -169,6 +173,9 @@
 // Write writes segment, which Seal returned last, or resolves an earlier try of
 // the same. Its errors are ErrDeposed, ErrUnavailable and ErrIndeterminate.
 func (l *Log) Write(ctx context.Context, segment dotterrecord.Segment) error {
+	if segment.Number != l.newest+1 {
+		panic("shard log: a segment is written twice or out of order")
+	}
 	key := l.ring.key(segment.Number)
 	version, err := l.store.Put(ctx, key, segment.Encode(), l.ring.version(segment.Number), "")
 	switch {
