--- a/internal/task/dotterowner/plan.go
+++ b/internal/task/dotterowner/plan.go
@@ -1,6 +1,7 @@
 package dotterowner
 
 import (
+	"errors"
 	"sort"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -195,11 +196,12 @@
 		return
 	}
 	o.removeRun(r)
-	o.reserve(r.task, w, size, a.Reason, false)
+	next := o.reserve(r.task, w, size, a.Reason, false)
+	next.former = r
 }
 
 // reserve logs the next attempt of task on w.
-func (o *Owner) reserve(task dottertask.Task, w *worker, size dotterroom.Room, reason string, ahead bool) {
+func (o *Owner) reserve(task dottertask.Task, w *worker, size dotterroom.Room, reason string, ahead bool) *run {
 	r := &run{
 		task: task, attempt: task.Attempt + 1, size: size, phase: phaseLogging,
 		ahead: ahead, reason: reason,
@@ -211,13 +213,31 @@
 			Task: task.ID, Attempt: r.attempt, Worker: w.host.Name, Incarnation: w.incarnation, Size: size,
 		}}},
 		committed: func() { o.reserved(r) },
+		refused:   func(err error) { o.unreserve(r, err) },
 	})
+	return r
+}
+
+// unreserve takes back a reservation that surely didn't get into the log, so
+// that it holds no room while the store is away.
+func (o *Owner) unreserve(r *run, err error) {
+	if !errors.Is(err, ErrRefused) || r.phase != phaseLogging {
+		return
+	}
+	o.removeRun(r)
+	if r.former == nil {
+		return
+	}
+	if w, ok := o.workers[r.former.worker]; ok {
+		o.addRun(w, r.former)
+	}
 }
 
 func (o *Owner) reserved(r *run) {
 	if r.phase != phaseLogging {
 		return
 	}
+	r.former = nil
 	r.phase = phaseReady
 	if r.ahead {
 		r.phase = phaseAhead
--- a/internal/task/dotterowner/reserve.go
+++ b/internal/task/dotterowner/reserve.go
@@ -50,12 +50,12 @@
 	var best *worker
 	least := 0.0
 	for _, w := range workers {
-		reserved := w.aheadRoom().Add(t.Size)
-		if !reserved.Fits(w.host.Capacity) {
+		if !t.Size.Fits(w.host.Capacity) {
 			continue
 		}
+		reserved := w.aheadRoom().Add(t.Size)
 		share := reserved.DominantShare(w.host.Capacity)
-		if best == nil || share < least {
+		if share <= aheadLaps && (best == nil || share < least) {
 			best, least = w, share
 		}
 	}
@@ -101,6 +101,9 @@
 	}
 }
 
+// aheadLaps is how often the attempts reserved ahead may fill their worker.
+const aheadLaps = 6
+
 const (
 	// drainInterval is the time between two rounds of evictions from draining workers.
 	drainInterval = 100
--- a/internal/task/dotterowner/run.go
+++ b/internal/task/dotterowner/run.go
@@ -36,6 +36,7 @@
 	size        dotterroom.Room // the larger of declared and learned
 	phase       phase
 	ahead       bool               // while Logging: becomes Ahead, not Ready
+	former      *run               // reserved elsewhere, to go back to if this one isn't logged
 	reason      string             // why it was placed here
 	startedAt   dotterclock.Millis // zero until the start is confirmed
 	latestStart dotterclock.Millis // on the worker's clock, of the start sent last
--- a/internal/task/dottershardlog/log.go
+++ b/internal/task/dottershardlog/log.go
@@ -225,3 +225,8 @@
 		l.carried = s
 	}
 }
+
+// Newest returns the number of the newest segment that this writer knows.
+func (l *Log) Newest() int64 {
+	return l.newest
+}
