Placement: learn interference, sizes and failures, and place by them

Cause: the first placer was least loaded by another name.

Change: dotterinterference (diagonal Kalman step per report), dottersize (histograms by template), dotterblame (likelihood ratio per worker), claims for urgent tasks, reservations for tasks that are overtaken, throttling and eviction with hysteresis; an in-process evaluation as BenchmarkPolicies.

--- a/internal/placement/dotternaive/placer.go
+++ b/internal/placement/dotternaive/placer.go
@@ -12,7 +12,7 @@
 )
 
 // Threshold is the slowdown over which RuleThreshold evicts.
-const Threshold = 1.5
+const Threshold = 2.0
 
 // maxAttempts is how often a task may fail.
 const maxAttempts = 3
@@ -93,6 +93,7 @@
 				continue
 			}
 			evictions = append(evictions, dotterplan.Eviction{Task: h.Task.ID, Reason: "threshold"})
+			p.forget(w)
 			break
 		}
 	}
@@ -108,6 +109,13 @@
 	return false
 }
 
+// forget drops the reports of w, so that each report leads to one eviction at most.
+func (p *Placer) forget(w dotterplan.Worker) {
+	for _, h := range w.Holders {
+		delete(p.slowdowns, h.Task.ID)
+	}
+}
+
 // Observe takes in late usage reports of attempts that run on worker.
 func (p *Placer) Observe(_ dotterclock.Millis, _ string, usage []dotterattempt.Usage) {
 	for _, u := range usage {
--- /dev/null
+++ b/internal/placement/dotterplacer/policy_bench_test.go
@@ -0,0 +1,66 @@
+package dotterplacer_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotternaive"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
+)
+
+var policies = []struct {
+	name string
+	make func() dotterelusher.Placer
+}{
+	{"FirstFit", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleFirstFit) }},
+	{"LeastLoaded", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleLeastLoaded) }},
+	{"Threshold", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleThreshold) }},
+	{"Learned", func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) }},
+}
+
+var scenarios = []struct {
+	name string
+	scenario
+}{
+	{"Steady", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, ticks: 1200}},
+	{"Full", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.7, shift: 0.2, wrong: 1, ticks: 1200}},
+	{"Shifting", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.8, wrong: 1, ticks: 1200}},
+	{"Waves", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.2, shift: 0.2, waves: true, wrong: 1, ticks: 1200}},
+	{"WrongSizes", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 4, ticks: 1200}},
+	{"BlackHoles", scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, blackHoles: 2, ticks: 1200}},
+}
+
+// BenchmarkPolicies plays every scenario with every policy and seed. The unit
+// of throughput is core-seconds of batch work per second; "lateP99" is the p99
+// of the second half, when what can be learned is known.
+func BenchmarkPolicies(b *testing.B) {
+	for _, s := range scenarios {
+		for _, p := range policies {
+			for seed := uint64(1); seed <= 3; seed++ {
+				b.Run(fmt.Sprintf("%s/%s/seed%d", s.name, p.name, seed), func(b *testing.B) {
+					var m *simulation
+					for range b.N {
+						m = newSimulation(s.scenario, seed, p.make())
+						m.run()
+					}
+					report(b, m)
+				})
+			}
+		}
+	}
+}
+
+func report(b *testing.B, m *simulation) {
+	b.ReportMetric(quantile(m.slowdowns, 0.5), "p50")
+	b.ReportMetric(quantile(m.slowdowns, 0.99), "p99")
+	b.ReportMetric(quantile(m.slowdowns[len(m.slowdowns)/2:], 0.99), "lateP99")
+	b.ReportMetric(m.batchWork/(float64(m.ticks)*tick.Seconds()), "cores")
+	b.ReportMetric(float64(m.evictions), "evictions")
+	b.ReportMetric(float64(m.failures), "failures")
+	b.ReportMetric(float64(slices.Max(m.lost)), "lost")
+	b.ReportMetric(float64(m.overfull), "overfull")
+	b.ReportMetric(float64(m.overused), "overused")
+	b.ReportMetric(float64(len(m.queue)), "queued")
+}
--- a/internal/placement/dotterplacer/queue.go
+++ b/internal/placement/dotterplacer/queue.go
@@ -63,9 +63,14 @@
 
 // placeQueue places queued tasks by rank, urgency, fair share and age.
 func (r *round) placeQueue() {
+	r.applyClaims()
+	r.applyReservations()
 	for _, c := range classify(r.state.Queue) {
 		r.placeClass(c)
 	}
+	if !r.cramped {
+		r.placer.advanceFront(r.state.Now)
+	}
 }
 
 func (r *round) placeClass(c *class) {
--- /dev/null
+++ b/internal/placement/dotterplacer/reserve.go
@@ -0,0 +1,148 @@
+package dotterplacer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+const (
+	// reservationsAtOnce bounds the tasks that hold a reservation.
+	reservationsAtOnce = 3
+
+	// overdue is the part of its expected run time that an attempt which has
+	// run longer than expected is expected to go on.
+	overdue = 0.25
+
+	// frontSmoothing is the part of one placed task in the smoothed instant of submission.
+	frontSmoothing = 0.05
+
+	never = dotterclock.Millis(math.MaxInt64 / 2)
+)
+
+// advanceFront moves the front towards instant, at which a task that was
+// placed had been submitted.
+func (p *Placer) advanceFront(instant dotterclock.Millis) {
+	if p.front == 0 {
+		p.front = float64(instant)
+	}
+	p.front += frontSmoothing * (float64(instant) - p.front)
+}
+
+// overtaken reports whether tasks submitted later than t by span are being
+// placed. Waiting alone is no sign: in a deep backlog everything waits.
+func (r *round) overtaken(t dottertask.Task, span dotterclock.Millis) bool {
+	return r.placer.front-float64(t.SubmittedAt) >= float64(span)
+}
+
+// applyReservations puts the reservations made in earlier rounds in force
+// before anything is placed, and drops those whose task is not queued any more.
+func (r *round) applyReservations() {
+	if len(r.placer.reservations) == 0 {
+		return
+	}
+	kept := make(map[dottertask.ID]string, len(r.placer.reservations))
+	for _, t := range r.state.Queue {
+		name, ok := r.placer.reservations[t.ID]
+		if !ok {
+			continue
+		}
+		w := r.worker(name)
+		if w == nil || !w.usable || w.probe {
+			continue
+		}
+		at, spare := r.expectedRoom(w, r.size(t))
+		if at == never {
+			continue
+		}
+		kept[t.ID] = name
+		w.reservation = &reservation{task: t.ID, at: at, spare: spare}
+	}
+	r.placer.reservations = kept
+}
+
+// reserve holds for t the worker that is expected to have room for it first.
+func (r *round) reserve(t dottertask.Task, size dotterroom.Room) bool {
+	if _, ok := r.placer.reservations[t.ID]; ok {
+		return true
+	}
+	if len(r.placer.reservations) >= reservationsAtOnce {
+		return false
+	}
+	var chosen *worker
+	var spare dotterroom.Room
+	earliest := never
+	for i := range r.workers {
+		w := &r.workers[i]
+		if !w.usable || w.probe || w.reservation != nil {
+			continue
+		}
+		at, left := r.expectedRoom(w, size)
+		if at < earliest {
+			chosen, earliest, spare = w, at, left
+		}
+	}
+	if chosen == nil {
+		return false
+	}
+	r.placer.reservations[t.ID] = chosen.host.Name
+	chosen.reservation = &reservation{task: t.ID, at: earliest, spare: spare}
+	return true
+}
+
+// dropReservation ends the reservation of the task called id, if it has one.
+func (r *round) dropReservation(id dottertask.ID) {
+	name, ok := r.placer.reservations[id]
+	if !ok {
+		return
+	}
+	delete(r.placer.reservations, id)
+	if w := r.worker(name); w != nil {
+		w.reservation = nil
+	}
+}
+
+// expectedRoom returns when w is expected to have room for size, by the run
+// times of what it runs, and the room that is left then.
+func (r *round) expectedRoom(w *worker, size dotterroom.Room) (dotterclock.Millis, dotterroom.Room) {
+	free := w.free.Sub(w.claimed)
+	if size.Fits(free) {
+		return r.state.Now, free.Sub(size)
+	}
+	holders := slices.Clone(w.holders)
+	slices.SortStableFunc(holders, func(a, b dotterplan.Holder) int {
+		return cmp.Compare(r.expectedEnd(a), r.expectedEnd(b))
+	})
+	for _, h := range holders {
+		at := r.expectedEnd(h)
+		if at == never {
+			break
+		}
+		free = free.Add(h.Size)
+		if size.Fits(free) {
+			return at, free.Sub(size)
+		}
+	}
+	return never, free
+}
+
+// expectedEnd returns when h is expected to end; latency-critical tasks don't.
+func (r *round) expectedEnd(h dotterplan.Holder) dotterclock.Millis {
+	if h.Task.Critical {
+		return never
+	}
+	if h.Task.State == dottertask.StateEvicting {
+		return r.state.Now
+	}
+	run := r.run(h.Task)
+	started := h.StartedAt
+	if started == 0 {
+		started = r.state.Now
+	}
+	return max(started+run, r.state.Now+dotterclock.Millis(overdue*float64(run)))
+}
--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -1,20 +1,32 @@
 package dotterplacer
 
 import (
+	"slices"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterfairshare"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
 
 // round is the working state of one Plan.
 type round struct {
-	placer  *Placer
-	state   dotterplan.State
-	workers []worker
-	shares  *dotterfairshare.Shares
-	blocked map[shape]bool // shapes that found no worker in this round
-	plan    dotterplan.Plan
+	placer    *Placer
+	state     dotterplan.State
+	templates map[string]dotterconfig.Template
+	workers   []worker
+	racks     map[rackTemplate]int // latency-critical tasks by rack and template
+	largest   dotterroom.Room      // each component's largest capacity
+	shares    *dotterfairshare.Shares
+	blocked   map[shape]bool // shapes that found no worker in this round
+	ended     map[dottertask.ID]bool
+	capacity  float64 // cores of all workers
+	withheld  float64 // cores that throttles withhold
+	cramped   bool    // a task found no room
+	plan      dotterplan.Plan
 }
 
 // shape is what makes two queued tasks alike for placement.
@@ -22,15 +34,35 @@
 	template string
 	size     dotterroom.Room
 	urgent   bool
+	patient  bool
+}
+
+// rackTemplate is a key of the spread over racks.
+type rackTemplate struct {
+	rack     string
+	template int
 }
 
 func newRound(p *Placer, state dotterplan.State) *round {
-	r := &round{placer: p, state: state, blocked: make(map[shape]bool)}
-	r.workers = make([]worker, len(state.Workers))
-	for i, w := range state.Workers {
-		r.workers[i] = newWorker(w)
+	r := &round{
+		placer:    p,
+		state:     state,
+		templates: make(map[string]dotterconfig.Template, len(state.Configuration.Templates)),
+		workers:   make([]worker, 0, len(state.Workers)),
+		racks:     make(map[rackTemplate]int),
+		blocked:   make(map[shape]bool),
+		ended:     make(map[dottertask.ID]bool),
+	}
+	for _, t := range state.Configuration.Templates {
+		r.templates[t.Name] = t
 	}
 	r.shares = dotterfairshare.New(state.Configuration, teamUse(state), state.Pool)
+	for _, w := range state.Workers {
+		r.addWorker(w)
+	}
+	for i := range r.workers {
+		r.predict(&r.workers[i])
+	}
 	return r
 }
 
@@ -49,41 +81,126 @@
 	return use
 }
 
-// place puts t on the best worker that has room for it.
-func (r *round) place(t dottertask.Task) bool {
-	size := t.Size
-	s := shape{template: t.Template, size: size, urgent: t.Urgent}
-	if r.blocked[s] || !r.shares.Allows(t.Team, size) {
-		return false
-	}
-	w := r.best(size)
-	if w == nil {
-		r.blocked[s] = true
-		return false
-	}
-	w.free = w.free.Sub(size)
-	r.shares.Add(t.Team, size)
-	r.plan.Assignments = append(r.plan.Assignments, dotterplan.Assignment{
-		Task:   t.ID,
-		Worker: w.host.Name,
-		Size:   size,
-		Reason: "lowest cost",
-	})
-	return true
+// addWorker takes in a worker and records what runs on it.
+func (r *round) addWorker(from dotterplan.Worker) {
+	p := r.placer
+	verdict := p.blame.Worker(r.state.Now, from.Host.Name)
+	w := worker{
+		host:    from.Host,
+		holders: from.Holders,
+		usable:  from.Usable && (!verdict.Quarantined || verdict.Probe),
+		probe:   verdict.Quarantined,
+		starts:  verdict.Unconfirmed,
+		free:    from.Host.Capacity,
+		groups:  make([]group, 0, 24),
+	}
+	r.largest = r.largest.Max(from.Host.Capacity)
+	r.capacity += cores(from.Host.Capacity)
+	p.groups = p.groups[:0]
+	for _, h := range from.Holders {
+		r.addHolder(&w, h)
+	}
+	r.workers = append(r.workers, w)
+	past, ok := p.histories[from.Host.Name]
+	if !ok {
+		past = &history{}
+		p.histories[from.Host.Name] = past
+	}
+	past.seen = p.plans
+	past.record(r.state.Now, p.groups)
 }
 
-func (r *round) best(size dotterroom.Room) *worker {
-	var best *worker
-	lowest := 0.0
-	for i := range r.workers {
-		w := &r.workers[i]
-		if !w.usable || !size.Fits(w.free) {
-			continue
+// addHolder takes in what holds room on w.
+func (r *round) addHolder(w *worker, h dotterplan.Holder) {
+	p := r.placer
+	a, ok := p.attempts[h.Task.ID]
+	if !ok {
+		a = &attempt{number: -1}
+		p.attempts[h.Task.ID] = a
+	}
+	a.adopt(r.state.Now, h, p.plans)
+	if h.Task.Critical {
+		r.learnTarget(r.templates[h.Task.Template], a)
+		a.target = r.target(r.templates[h.Task.Template])
+	}
+	w.hold(h.Size.Max(a.peak))
+	if !a.confirmed {
+		w.starts--
+	}
+	share := h.Size.DominantShare(w.host.Capacity)
+	id := p.effects.id(h.Task.Template, share)
+	g := w.group(id)
+	weight := holderWeight(h)
+	r.withheld += (1 - weight) * cores(h.Size)
+	g.weight += weight
+	if h.Task.Critical {
+		g.critical++
+		r.racks[rackTemplate{w.host.Rack, id}]++
+	} else {
+		g.batch++
+		g.cores += cores(h.Size)
+	}
+	if h.StartedAt > 0 {
+		p.groups = addCorunner(p.groups, h.Task.Template, weight, share)
+	}
+}
+
+// holderWeight returns the part of its processor time that h is left.
+func holderWeight(h dotterplan.Holder) float64 {
+	if h.Throttled <= 0 {
+		return 1
+	}
+	return float64(h.Throttled) / 100
+}
+
+func addCorunner(groups []dotterinterference.Corunner, template string, weight, share float64) []dotterinterference.Corunner {
+	for i := range groups {
+		if groups[i].Template == template {
+			groups[i].Weight += weight
+			return groups
 		}
-		cost := w.host.Capacity.Sub(w.free).DominantShare(w.host.Capacity)
-		if best == nil || cost < lowest {
-			best, lowest = w, cost
+	}
+	return append(groups, dotterinterference.Corunner{Template: template, Weight: weight, Share: share})
+}
+
+// endExhausted ends queued tasks that have failed too often.
+func (r *round) endExhausted() {
+	blame := r.placer.blame
+	for _, t := range r.state.Queue {
+		if !blame.Exhausted(t, r.templates[t.Template].MaxAttempts) {
+			continue
 		}
+		r.ended[t.ID] = true
+		blame.Done(t.ID)
+		r.plan.Endings = append(r.plan.Endings, dotterplan.Ending{Task: t.ID, Reason: "failed on as many workers as the template allows"})
+	}
+}
+
+// size returns the room to hold for t: the larger of declared and learned, of
+// which the learned part never passes the largest worker.
+func (r *round) size(t dottertask.Task) dotterroom.Room {
+	learned := r.placer.options.Knowledge.Sizes.Room(t.Template, t.Size)
+	return t.Size.Max(least(learned, r.largest))
+}
+
+// run returns the run time to expect of t.
+func (r *round) run(t dottertask.Task) dotterclock.Millis {
+	return r.placer.options.Knowledge.Sizes.Run(t.Template, t.RunMillis)
+}
+
+func least(a, b dotterroom.Room) dotterroom.Room {
+	return dotterroom.Room{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// worker returns the worker called name, or nil.
+func (r *round) worker(name string) *worker {
+	at := slices.IndexFunc(r.workers, func(w worker) bool { return w.host.Name == name })
+	if at < 0 {
+		return nil
 	}
-	return best
+	return &r.workers[at]
 }
--- /dev/null
+++ b/internal/placement/dottersize/sizes.go
@@ -0,0 +1,110 @@
+package dottersize
+
+import (
+	"sync"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+const (
+	// DefaultLimit is the number of templates that a Sizes keeps at most.
+	DefaultLimit = 512
+
+	roomPercentile = 95
+	runPercentile  = 50
+
+	// fewestSamples is the number of ended attempts from which a template's size is used.
+	fewestSamples = 3
+
+	largestCores  = 1_000_000              // thousandths of a core
+	largestMemory = 4_000_000              // megabytes
+	largestRun    = 14 * 24 * 3600 * 1_000 // milliseconds
+)
+
+// Sizes is the learned sizes and run times by template, safe for concurrent use.
+type Sizes struct {
+	mu        sync.RWMutex
+	limit     int
+	templates map[string]*template
+	names     []string
+	hand      int
+}
+
+// New returns a Sizes that keeps at most limit templates; 0 means DefaultLimit.
+func New(limit int) *Sizes {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
+	return &Sizes{limit: limit, templates: make(map[string]*template)}
+}
+
+// AddPeak takes in the most that an attempt of the template called name used.
+func (s *Sizes) AddPeak(name string, peak dotterroom.Room) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.place(name).addPeak(peak)
+}
+
+// AddRun takes in how long an attempt of the template called name ran to its end.
+func (s *Sizes) AddRun(name string, span dotterclock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.place(name).addRun(span)
+}
+
+// Room returns the room to hold for a task of the template called name: the
+// larger of declared and learned.
+func (s *Sizes) Room(name string, declared dotterroom.Room) dotterroom.Room {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t, ok := s.templates[name]
+	if !ok {
+		return declared
+	}
+	return declared.Max(t.room)
+}
+
+// Run returns the run time to expect of a task of the template called name:
+// learned, or declared while too little is known.
+func (s *Sizes) Run(name string, declared dotterclock.Millis) dotterclock.Millis {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t, ok := s.templates[name]
+	if !ok || t.run == 0 {
+		return declared
+	}
+	return t.run
+}
+
+// place returns the template called name, making it in place of one that was
+// not touched lately when there are too many.
+func (s *Sizes) place(name string) *template {
+	t, ok := s.templates[name]
+	if ok {
+		t.touched = true
+		return t
+	}
+	t = newTemplate()
+	t.touched = true
+	s.templates[name] = t
+	if len(s.names) < s.limit {
+		s.names = append(s.names, name)
+		return t
+	}
+	position := s.replaceable()
+	delete(s.templates, s.names[position])
+	s.names[position] = name
+	return t
+}
+
+// replaceable returns a position not touched since the hand passed it last.
+func (s *Sizes) replaceable() int {
+	for s.templates[s.names[s.hand]].touched {
+		s.templates[s.names[s.hand]].touched = false
+		s.hand = (s.hand + 1) % len(s.names)
+	}
+	position := s.hand
+	s.hand = (s.hand + 1) % len(s.names)
+	return position
+}
