Forward what reached no backend server; outage test waits for a running task

Cause 1: with all backend servers of a domain dead, 10,884 of 10,944 requests were refused as NotRun/Unreachable although other domains had room: a request that had been tried once was never forwarded. Change 1: a request that is given up because no server could be reached is forwarded, at most one hop as ever. FreeSlots told to peers counts what the services could really use. Ruled out: counting the forward against the retry budget: nothing has run, so no server gets it twice. Cause 2: TestSubmissionInOutageIsRefused began the outage right after the submission was answered, before any attempt was logged, and then waited for a running task to end. By design nothing starts that isn't logged. Change 2: the test first waits until a task runs; every assertion stands.

--- a/internal/entry/dotterexchange/exchanger.go
+++ b/internal/entry/dotterexchange/exchanger.go
@@ -75,13 +75,26 @@
 		}
 		before = combined(before, r.refusal)
 		if number == mostAttempts || !e.mayRepeat(ctx, request, before) {
-			return dotterrequest.Answer{}, before
+			return e.givenUp(ctx, request, before)
 		}
 		e.options.Meter.Retries.Inc()
 		ticket.Exclude = r.server
 	}
 }
 
+// givenUp ends a request that is not sent here again: one that reached no backend
+// server is forwarded, because those of another domain may well be reachable.
+func (e *Exchanger) givenUp(ctx context.Context, request dotterrequest.Request, refusal *dotterrequest.Refusal) (dotterrequest.Answer, *dotterrequest.Refusal) {
+	unreached := refusal.Outcome == dotteroutcome.NotRun && refusal.Reason == dotterrequest.ReasonUnreachable
+	if unreached && !request.Forwarded && ctx.Err() == nil {
+		answer, refused, tried := e.forward(ctx, request, refusal.Reason, true)
+		if tried {
+			return answer, refused
+		}
+	}
+	return dotterrequest.Answer{}, refusal
+}
+
 // mayRepeat reports whether the request may be sent again after refusal, and
 // spends from the budget if so.
 func (e *Exchanger) mayRepeat(ctx context.Context, request dotterrequest.Request, refusal *dotterrequest.Refusal) bool {
--- a/internal/server/dotterdaemon/daemon.go
+++ b/internal/server/dotterdaemon/daemon.go
@@ -128,7 +128,7 @@
 // announce tells peers how many slots are free and which shards are owned here.
 func (d *Daemon) announce() error {
 	for {
-		free := d.cluster.ledger.FreeSlots()
+		free := d.proxy.FreeSlots()
 		shards := d.tasks.Owned()
 		d.cluster.mesh.Announce(func(s dotterpeer.State) dotterpeer.State {
 			return s.WithFreeSlots(free).WithShards(shards)
--- a/internal/testing/dotterfailure/tasks_test.go
+++ b/internal/testing/dotterfailure/tasks_test.go
@@ -119,6 +119,7 @@
 	c := dotterharness.NewCluster(t, twoDomains())
 	h := c.Host("a", 0)
 	batch := submit(t, c, h, "reweighting", 20, nil)
+	c.Await("a task runs", func() bool { return len(c.Truth().Runs) > 0 })
 	c.Fault(dotterfault.PathStore, dotterfault.Store{Outage: dotterfault.OutageRefuse})
 	c.Await("a submission is refused", func() bool {
 		_, err := c.Submit(h, dottersubmission.Submission{Template: "reweighting"})
