--- /dev/null
+++ b/internal/task/dotterowner/bench_test.go
@@ -0,0 +1,166 @@
+package dotterowner
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterledger"
+	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershardlog"
+)
+
+// fillLog writes a log with tasks, a quarter of them bound, and returns its options.
+func fillLog(b *testing.B, p *fakePool, tasks int) dottershardlog.Options {
+	options := dottershardlog.Options{Prefix: shardD.SegmentPrefix(), Writer: "fill/1"}
+	log, ledger, err := dottershardlog.Open(context.Background(), p.store, options)
+	require.NoError(b, err)
+	write := func(records []dotterrecord.Record) {
+		segment := log.Seal(ledger, records, int64(tasks))
+		require.NoError(b, log.Write(context.Background(), segment))
+		log.Applied(ledger, segment)
+	}
+	var records []dotterrecord.Record
+	for i := range tasks {
+		records = append(records, dotterrecord.Record{Accepted: &dotterrecord.Entry{Task: benchTask(i)}})
+		if i%4 == 0 {
+			records = append(records, dotterrecord.Record{Reserved: &dotterrecord.Reserved{
+				Task: shardD.Task(int64(i)), Attempt: 1, Worker: fmt.Sprintf("d-w%d", i%27), Incarnation: 1,
+				Size: dotterroom.Room{MilliCores: 10, MemoryMB: 10},
+			}})
+		}
+		if len(records) >= 100 {
+			write(records)
+			records = nil
+		}
+	}
+	write(records)
+	return options
+}
+
+func benchTask(i int) dottertask.Task {
+	t := task(true, 60_000)
+	t.ID = shardD.Task(int64(i))
+	t.State = dottertask.StateQueued
+	t.SubmittedAt = dotterclock.Millis(i)
+	t.Payload = "survey-2026/region-05/households"
+	return t
+}
+
+// BenchmarkReplay reads and applies a log of 5,000 tasks.
+func BenchmarkReplay(b *testing.B) {
+	for _, tasks := range []int{1250, 5000, 20000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			p := newPool(b, 0)
+			options := fillLog(b, p, tasks)
+			records := 0
+			for b.Loop() {
+				_, ledger, err := dottershardlog.Open(context.Background(), p.store, options)
+				require.NoError(b, err)
+				require.Equal(b, tasks, ledger.Len())
+				records += tasks + tasks/4
+			}
+			b.ReportMetric(float64(records)/b.Elapsed().Seconds(), "records/s")
+		})
+	}
+}
+
+// BenchmarkTakeover measures, from the claim, until every worker has been
+// inventoried and every bound attempt is settled.
+func BenchmarkTakeover(b *testing.B) {
+	for _, tasks := range []int{1250, 5000, 20000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			p := newPool(b, 27)
+			fillLog(b, p, tasks)
+			virtual := dotterclock.Millis(0)
+			for b.Loop() {
+				started := p.clock.Now()
+				o := p.open(p.benchOptions())
+				p.pump(60*dotterclock.Second, func() bool { return settled(o) })
+				virtual += p.clock.Now() - started
+				o.tomb.Kill(ErrDeposed)
+				<-o.Dead()
+			}
+			b.ReportMetric(float64(virtual)/float64(b.N), "clock-ms/op")
+		})
+	}
+}
+
+func (p *fakePool) benchOptions() Options {
+	options := p.options("bench/1")
+	options.Limits.RingSize = 0
+	p.set(func() { p.allowed.Allowed = false })
+	return options
+}
+
+func settled(o *Owner) bool {
+	uncertain := 0
+	err := o.ask(context.Background(), func() {
+		for _, r := range o.runs {
+			if r.phase == phaseUncertain {
+				uncertain++
+			}
+		}
+	})
+	return err == nil && uncertain == 0
+}
+
+// BenchmarkMemory reports the heap that a ledger takes per 10,000 tasks.
+func BenchmarkMemory(b *testing.B) {
+	for _, tasks := range []int{2500, 10000, 20000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				ledger := dotterledger.New(dotterledger.EndedLimit)
+				for i := range tasks {
+					ledger.Apply(int64(i/100), dotterrecord.Record{Accepted: &dotterrecord.Entry{Task: benchTask(i)}})
+				}
+				b.ReportMetric(float64(heap()-before)*10000/float64(tasks), "B/10k-tasks")
+				runtime.KeepAlive(ledger)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkStarts runs tasks that arrive at a fixed rate on one shard and
+// reports store writes and bytes per start. One operation is one second.
+func BenchmarkStarts(b *testing.B) {
+	for _, rate := range []int{4, 21, 85} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			p := newPool(b, 100)
+			store := &countingStore{Store: p.store}
+			options := p.options("bench/1")
+			options.Limits.RingSize = 0
+			options.Store = store
+			o := p.open(options)
+			for b.Loop() {
+				for range 4 {
+					go func() { _, _ = o.Submit(context.Background(), many(max(rate/4, 1), task(true, 2000))) }()
+					p.pass(250)
+				}
+			}
+			p.pass(10 * dotterclock.Second)
+			starts := float64(p.totalStarts())
+			seconds := float64(b.N) + 10
+			b.ReportMetric(starts/float64(b.N), "starts/s")
+			b.ReportMetric(float64(store.writes.Load())/seconds, "writes/s")
+			b.ReportMetric(float64(store.writes.Load())/starts, "writes/start")
+			b.ReportMetric(float64(store.bytes.Load())/starts, "B/start")
+			b.ReportMetric(float64(store.reads.Load())/starts, "reads/start")
+			o.Stop()
+		})
+	}
+}
--- a/internal/task/dotterservice/doc.go
+++ b/internal/task/dotterservice/doc.go
@@ -11,5 +11,6 @@
 // names, which depends only on the shards there are; while that shard has no
 // owner the submission is refused, never taken by another shard, so that a key
 // has one task in the whole pool. A key is remembered as long as its task is
-// readable.
+// readable. A failure domain that is added takes over the part of the keys that
+// its shards name from then on; those given before are not looked for there.
 package dotterservice
--- a/internal/task/dotterservice/layouts.go
+++ b/internal/task/dotterservice/layouts.go
@@ -8,14 +8,18 @@
 
 	dotterelusher "github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
 )
 
-// refreshLayouts reads the layouts and adds what this domain's lacks.
+// refreshLayouts reads the layouts and adds what is missing: racks of this
+// host's domain, and whole layouts of any. The keys of submissions are spread
+// over all layouts, so a domain without entry hosts needs one too.
 func (s *Service) refreshLayouts(ctx context.Context, now dotterclock.Millis) {
-	if now < s.layoutsAt && !s.lacksRacks() {
+	document, ok := s.options.Configuration.Current()
+	if !ok || now < s.layoutsAt && !s.lacksLayout(document) {
 		return
 	}
 	entries, _, err := s.options.Store.List(ctx, dottershard.LayoutPrefix)
@@ -23,7 +27,7 @@
 		return
 	}
 	s.layoutsAt = now + s.timing.LayoutRefresh
-	var own dotterkey.Entry
+	versions := make(map[string]dotterkey.Version)
 	for _, e := range entries {
 		layout, err := dottershard.DecodeLayout(e.Value)
 		if err != nil {
@@ -31,11 +35,14 @@
 			continue
 		}
 		s.setLayout(layout)
-		if layout.FailureDomain == s.options.FailureDomain {
-			own = e
+		versions[layout.FailureDomain] = e.Version
+	}
+	for _, domain := range document.FailureDomains {
+		version, known := versions[domain.Name]
+		if !known || domain.Name == s.options.FailureDomain {
+			s.growLayout(ctx, domain, version)
 		}
 	}
-	s.growLayout(ctx, own.Version)
 }
 
 func (s *Service) setLayout(layout dottershard.Layout) {
@@ -44,22 +51,14 @@
 	s.layouts[layout.FailureDomain] = layout
 }
 
-// growLayout writes the domain's layout if it is new or lacks a rack. A lost
+// growLayout writes a domain's layout if it is new or lacks a rack. A lost
 // answer or a conflict is resolved by the next read.
-func (s *Service) growLayout(ctx context.Context, version dotterkey.Version) {
-	document, ok := s.options.Configuration.Current()
-	if !ok {
-		return
-	}
-	layout, known := s.layout(s.options.FailureDomain)
+func (s *Service) growLayout(ctx context.Context, domain dotterconfig.FailureDomain, version dotterkey.Version) {
+	layout, known := s.layout(domain.Name)
 	if !known {
-		domain, configured := document.FailureDomain(s.options.FailureDomain)
-		if !configured {
-			return
-		}
-		layout = dottershard.NewLayout(s.options.FailureDomain, domain.ShardCount())
+		layout = dottershard.NewLayout(domain.Name, domain.ShardCount())
 	}
-	grown, changed := layout.WithRacks(s.listedRacks())
+	grown, changed := layout.WithRacks(s.listedRacks(domain.Name))
 	if known && !changed {
 		return
 	}
@@ -74,26 +73,39 @@
 	}
 }
 
-func (s *Service) listedRacks() []string {
+func (s *Service) listedRacks(failureDomain string) []string {
 	var racks []string
 	for _, h := range s.options.Directory.Hosts() {
-		if h.Role == dotterhost.RoleWorker && h.FailureDomain == s.options.FailureDomain {
+		if h.Role == dotterhost.RoleWorker && h.FailureDomain == failureDomain {
 			racks = append(racks, h.Rack)
 		}
 	}
 	return racks
 }
 
-// lacksRacks reports whether the domain's layout is missing or lacks a listed rack.
-func (s *Service) lacksRacks() bool {
+// lacksLayout reports whether a layout is missing, or a rack in this host's domain's.
+func (s *Service) lacksLayout(document dotterconfig.Document) bool {
+	if !s.knowsLayouts(document) {
+		return true
+	}
 	layout, known := s.layout(s.options.FailureDomain)
 	if !known {
-		return true
+		return false
 	}
-	_, changed := layout.WithRacks(s.listedRacks())
+	_, changed := layout.WithRacks(s.listedRacks(s.options.FailureDomain))
 	return changed
 }
 
+// knowsLayouts reports whether this host knows the shards of every failure domain.
+func (s *Service) knowsLayouts(document dotterconfig.Document) bool {
+	for _, domain := range document.FailureDomains {
+		if _, known := s.layout(domain.Name); !known {
+			return false
+		}
+	}
+	return true
+}
+
 // belongs reports whether worker is one of the shard's.
 func (s *Service) belongs(shard dottershard.Name, worker dotterhost.Host) bool {
 	if worker.FailureDomain != shard.FailureDomain {
--- a/internal/task/dotterservice/submit.go
+++ b/internal/task/dotterservice/submit.go
@@ -102,7 +102,8 @@
 	indexes []int
 }
 
-func (s *Service) parts(tasks []dottertask.Task) ([]part, error) {
+func (s *Service) parts(document dotterconfig.Document, tasks []dottertask.Task) ([]part, error) {
+	layoutsKnown := s.knowsLayouts(document)
 	shards := s.allShards()
 	byShard := make(map[string]int)
 	var parts []part
@@ -110,8 +111,8 @@
 		shard := ""
 		if t.Key != "" {
 			name, ok := dottershard.ForKey(shards, t.Team, t.Key)
-			if !ok {
-				return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "no shard is known yet")
+			if !ok || !layoutsKnown {
+				return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "not every shard is known yet")
 			}
 			shard = name.String()
 		}
@@ -127,7 +128,7 @@
 }
 
 func (s *Service) submitParts(ctx context.Context, document dotterconfig.Document, tasks []dottertask.Task) ([]dottertask.Task, error) {
-	parts, err := s.parts(tasks)
+	parts, err := s.parts(document, tasks)
 	if err != nil {
 		return nil, err
 	}
