--- /dev/null
+++ b/internal/placement/dotterblame/blame_test.go
@@ -0,0 +1,130 @@
+package dotterblame_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterblame"
+)
+
+const now = 1_000_000 * dotterclock.Millis(1)
+
+func task(template string, number int) dottertask.Task {
+	return dottertask.Task{ID: dottertask.ID(fmt.Sprintf("%s-%d", template, number)), Template: template}
+}
+
+func worker(number int) string {
+	return fmt.Sprintf("w%d", number)
+}
+
+// succeed has every template do well on every worker.
+func succeed(b *dotterblame.Blame, workers int, templates ...string) {
+	for w := range workers {
+		for _, name := range templates {
+			b.Succeeded(now, worker(w), task(name, w))
+		}
+	}
+}
+
+func TestWhoIsBlamed(t *testing.T) {
+	tests := map[string]struct {
+		events      func(b *dotterblame.Blame)
+		quarantined []string
+		exhausted   bool // the task x-0
+	}{
+		"a worker that fails known good templates": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 5, "a", "b")
+				b.Failed(now, "w0", task("a", 0))
+				b.Failed(now, "w0", task("b", 0))
+			},
+			quarantined: []string{"w0"},
+		},
+		"one failure is not enough": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 5, "a")
+				b.Failed(now, "w0", task("a", 0))
+			},
+		},
+		"a worker that fails new templates": {
+			events: func(b *dotterblame.Blame) {
+				b.Failed(now, "w0", task("a", 0))
+				b.Failed(now, "w0", task("b", 0))
+			},
+			quarantined: []string{"w0"},
+		},
+		"a template that fails everywhere": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 8, "a")
+				for i := range 24 {
+					b.Failed(now, worker(i%8), task("x", i/8))
+				}
+			},
+			exhausted: true,
+		},
+		"a task that fails on good workers": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 8, "x")
+				for i := range dotterblame.DefaultMaxAttempts {
+					b.Failed(now, worker(i), task("x", 0))
+				}
+			},
+			exhausted: true,
+		},
+		"a task that fails on bad workers": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 8, "x", "a")
+				for i := range dotterblame.DefaultMaxAttempts {
+					b.Failed(now, worker(i), task("a", i))
+					b.Failed(now, worker(i), task("a", i))
+					b.Failed(now, worker(i), task("x", 0))
+				}
+			},
+			quarantined: []string{"w0", "w1", "w2"},
+		},
+		"a worker with a mixed record": {
+			events: func(b *dotterblame.Blame) {
+				succeed(b, 5, "a")
+				for i := range 10 {
+					b.Failed(now, "w0", task("a", i))
+					b.Succeeded(now, "w0", task("a", 100+i))
+					b.Succeeded(now, "w0", task("a", 200+i))
+				}
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := dotterblame.New()
+			tc.events(b)
+			var quarantined []string
+			for i := range 8 {
+				if b.Worker(now, worker(i)).Quarantined {
+					quarantined = append(quarantined, worker(i))
+				}
+			}
+			assert.Equal(t, tc.quarantined, quarantined)
+			assert.Equal(t, tc.exhausted, b.Exhausted(task("x", 0), 0))
+		})
+	}
+}
+
+func TestAProbeEndsOrDoublesAQuarantine(t *testing.T) {
+	b := dotterblame.New()
+	succeed(b, 5, "a")
+	b.Failed(now, "w0", task("a", 0))
+	b.Failed(now, "w0", task("a", 1))
+	assert.Equal(t, dotterblame.Verdict{Quarantined: true, Unconfirmed: 1}, b.Worker(now, "w0"))
+	due := now + dotterblame.FirstQuarantine
+	assert.True(t, b.Worker(due, "w0").Probe)
+	b.Failed(due, "w0", task("a", 2))
+	due += 2 * dotterblame.FirstQuarantine
+	assert.False(t, b.Worker(due-1, "w0").Probe)
+	assert.True(t, b.Worker(due, "w0").Probe)
+	b.Succeeded(due, "w0", task("a", 3))
+	assert.Equal(t, dotterblame.Verdict{Unconfirmed: dotterblame.MaxUnconfirmed}, b.Worker(due, "w0"))
+}
--- a/internal/placement/dotterfairshare/shares.go
+++ b/internal/placement/dotterfairshare/shares.go
@@ -38,10 +38,10 @@
 		partners: make(map[string]*partner, len(document.Partners)),
 	}
 	for _, p := range document.Partners {
-		s.partners[p.Name] = &partner{name: p.Name, percent: p.SharePercent}
+		s.partners[p.Name] = &partner{name: p.Name, percent: p.SharePercent, key: ratio(0, p.SharePercent)}
 	}
 	for _, t := range document.Teams {
-		s.teams[t.Name] = &team{name: t.Name, partner: s.partner(t.Partner), weight: t.Weight, quota: t.Quota}
+		s.teams[t.Name] = &team{name: t.Name, partner: s.partner(t.Partner), weight: t.Weight, quota: t.Quota, key: ratio(0, t.Weight)}
 	}
 	for name, room := range use {
 		s.Add(name, room)
@@ -108,7 +108,7 @@
 func (s *Shares) team(name string) *team {
 	t, ok := s.teams[name]
 	if !ok {
-		t = &team{name: name, partner: s.partner("")}
+		t = &team{name: name, partner: s.partner(""), key: math.Inf(1)}
 		s.teams[name] = t
 	}
 	return t
--- /dev/null
+++ b/internal/placement/dotterinterference/model_test.go
@@ -0,0 +1,80 @@
+package dotterinterference_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
+)
+
+const (
+	templates = 12
+	share     = 0.02
+	noisy     = "t0"
+)
+
+// feed gives the model reports of random mixes in which only noisy has an effect.
+func feed(m *dotterinterference.Model, from dotterclock.Millis, reports int, effect float64) dotterclock.Millis {
+	random := rand.New(rand.NewPCG(7, uint64(from)))
+	for i := range reports {
+		s := dotterinterference.Sample{At: from + dotterclock.Millis(i)*dotterclock.Second, Victim: "victim", Slowdown: 1}
+		for k := range templates {
+			if random.IntN(2) == 0 {
+				continue
+			}
+			c := dotterinterference.Corunner{Template: fmt.Sprintf("t%d", k), Weight: 1, Share: share}
+			s.Corunners = append(s.Corunners, c)
+			if c.Template == noisy {
+				s.Slowdown += effect
+			}
+		}
+		s.Slowdown += 0.05 * random.NormFloat64()
+		m.Observe(s)
+	}
+	return from + dotterclock.Millis(reports)*dotterclock.Second
+}
+
+func TestModelAttributesTheSlowdownToTheOneThatCausesIt(t *testing.T) {
+	m := dotterinterference.New(0)
+	end := feed(m, 0, 150, 0.5)
+	assert.InDelta(t, 0.5, m.Predict(end, "victim", noisy, share).Mean, 0.1)
+	for k := 1; k < templates; k++ {
+		assert.Less(t, m.Predict(end, "victim", fmt.Sprintf("t%d", k), share).Mean, 0.1)
+	}
+	unseen := m.Predict(end, "stranger", noisy, share)
+	assert.Greater(t, unseen.Mean, 0.15, "the general part tells other victims something")
+	assert.Greater(t, unseen.Deviation, m.Predict(end, "victim", noisy, share).Deviation)
+}
+
+func TestModelFollowsChange(t *testing.T) {
+	m := dotterinterference.New(0)
+	end := feed(m, 0, 150, 0.8)
+	end = feed(m, end, 600, 0.1)
+	assert.InDelta(t, 0.1, m.Predict(end, "victim", noisy, share).Mean, 0.1)
+}
+
+func TestModelKnowsOnlyThePriorAtFirst(t *testing.T) {
+	m := dotterinterference.New(0)
+	small, large := m.Predict(0, "v", "a", 0.1), m.Predict(0, "v", "a", 0.4)
+	assert.Greater(t, large.Mean, small.Mean)
+	assert.Positive(t, small.Deviation)
+}
+
+func TestModelIsBoundedAndKeepsWhatIsInUse(t *testing.T) {
+	const limit = 64
+	m := dotterinterference.New(limit)
+	end := feed(m, 0, 150, 0.5)
+	for i := range 1000 {
+		m.Observe(dotterinterference.Sample{
+			At: end, Victim: fmt.Sprintf("v%d", i), Slowdown: 1,
+			Corunners: []dotterinterference.Corunner{{Template: "other", Weight: 1}},
+		})
+		end = feed(m, end, 1, 0.5)
+	}
+	assert.Equal(t, limit, m.Len())
+	assert.InDelta(t, 0.5, m.Predict(end, "victim", noisy, share).Mean, 0.2)
+}
--- a/internal/placement/dotterplacer/placer.go
+++ b/internal/placement/dotterplacer/placer.go
@@ -14,6 +14,10 @@
 	// sweepPlans is the number of plans after which state of what is gone is dropped.
 	sweepPlans = 64
 
+	// usualLag and longestLag are the age of reports when they arrive.
+	usualLag   = 2 * dotterclock.Second
+	longestLag = 60 * dotterclock.Second
+
 	// evictionMemory is how long an eviction of a task is remembered.
 	evictionMemory = 120 * dotterclock.Second
 )
@@ -77,18 +81,19 @@
 			continue
 		}
 		a.report(now, u)
-		p.learn(worker, a, u)
+		p.learn(now, worker, a, u)
 		p.prove(now, worker, u.Task, a)
 	}
 }
 
 // learn hands the report to the model with what ran beside the attempt.
-func (p *Placer) learn(worker string, a *attempt, u dotterattempt.Usage) {
+func (p *Placer) learn(now dotterclock.Millis, worker string, a *attempt, u dotterattempt.Usage) {
 	h, ok := p.histories[worker]
 	if !ok || u.Slowdown <= 0 || a.throttled > 0 {
 		return
 	}
-	groups, unsettled, ok := h.at(u.At)
+	instant := measuredAt(now, u)
+	groups, unsettled, ok := h.at(instant)
 	if !ok {
 		return
 	}
@@ -102,14 +107,23 @@
 		}
 	}
 	p.options.Knowledge.Interference.Observe(dotterinterference.Sample{
-		At:        u.At,
+		At:        instant,
 		Victim:    a.template,
 		Slowdown:  u.Slowdown,
 		Corunners: p.groups,
-		Unsettled: unsettled,
+		Unsettled: unsettled || instant != u.At,
 	})
 }
 
+// measuredAt returns when u was measured. An instant that can't be, because the
+// worker's clock is far off, is replaced by one that is usual.
+func measuredAt(now dotterclock.Millis, u dotterattempt.Usage) dotterclock.Millis {
+	if u.At > now || u.At < now-longestLag {
+		return now - usualLag
+	}
+	return u.At
+}
+
 // prove counts an attempt that has run well for long as a success, once.
 func (p *Placer) prove(now dotterclock.Millis, worker string, id dottertask.ID, a *attempt) {
 	if a.proven || !a.confirmed || now-a.startedAt < provenSpan {
--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -110,9 +110,14 @@
 	past.record(r.state.Now, p.groups)
 }
 
-// addHolder takes in what holds room on w.
+// addHolder takes in what holds room on w; of a holder without a task nothing
+// is known but its size.
 func (r *round) addHolder(w *worker, h dotterplan.Holder) {
 	p := r.placer
+	if h.Task.ID == "" {
+		w.hold(h.Size)
+		return
+	}
 	a, ok := p.attempts[h.Task.ID]
 	if !ok {
 		a = &attempt{number: -1}
