--- a/internal/placement/dotterplacer/effects.go
+++ b/internal/placement/dotterplacer/effects.go
@@ -32,10 +32,10 @@
 	return &effects{model: model, index: make(map[string]int)}
 }
 
-// refresh drops predictions that are too old.
-func (e *effects) refresh(now dotterclock.Millis) {
+// refresh drops predictions that are too old and reports whether it did.
+func (e *effects) refresh(now dotterclock.Millis) bool {
 	if now-e.madeAt < effectsSpan && len(e.names) < templatesAtOnce {
-		return
+		return false
 	}
 	e.madeAt = now
 	clear(e.index)
@@ -43,6 +43,7 @@
 	e.shares = e.shares[:0]
 	e.rows = e.rows[:0]
 	e.cautious = e.cautious[:0]
+	return true
 }
 
 // id returns the position of the template called name, of which a task holds share of a host.
@@ -54,32 +55,52 @@
 	e.index[name] = at
 	e.names = append(e.names, name)
 	e.shares = append(e.shares, share)
-	e.rows = append(e.rows, nil)
-	e.cautious = append(e.cautious, nil)
+	e.rows = appendRow(e.rows)
+	e.cautious = appendRow(e.cautious)
 	return at
 }
 
 // mean returns the predicted effect of one task of aggressor on a victim.
 func (e *effects) mean(victim, aggressor int) float64 {
+	if row := e.rows[victim]; aggressor < len(row) && row[aggressor] >= 0 {
+		return float64(row[aggressor])
+	}
 	e.fill(victim, aggressor)
 	return float64(e.rows[victim][aggressor])
 }
 
 // careful returns the same, raised where little is known.
 func (e *effects) careful(victim, aggressor int) float64 {
+	if row := e.cautious[victim]; aggressor < len(row) && row[aggressor] >= 0 {
+		return float64(row[aggressor])
+	}
 	e.fill(victim, aggressor)
 	return float64(e.cautious[victim][aggressor])
 }
 
+// fill asks the model for one pair.
 func (e *effects) fill(victim, aggressor int) {
-	for len(e.rows[victim]) <= aggressor {
-		e.rows[victim] = append(e.rows[victim], -1)
-		e.cautious[victim] = append(e.cautious[victim], -1)
-	}
-	if e.rows[victim][aggressor] >= 0 {
-		return
-	}
+	e.rows[victim] = grow(e.rows[victim], len(e.names))
+	e.cautious[victim] = grow(e.cautious[victim], len(e.names))
 	estimate := e.model.Predict(e.madeAt, e.names[victim], e.names[aggressor], e.shares[aggressor])
 	e.rows[victim][aggressor] = float32(estimate.Mean)
 	e.cautious[victim][aggressor] = float32(estimate.Cautious(caution))
 }
+
+// appendRow adds an empty row, reusing one that was there before.
+func appendRow(rows [][]float32) [][]float32 {
+	if len(rows) == cap(rows) {
+		return append(rows, nil)
+	}
+	rows = rows[:len(rows)+1]
+	rows[len(rows)-1] = rows[len(rows)-1][:0]
+	return rows
+}
+
+// grow returns row with at least length cells, new ones not yet asked for.
+func grow(row []float32, length int) []float32 {
+	for len(row) < length {
+		row = append(row, -1)
+	}
+	return row
+}
--- a/internal/placement/dotterplacer/options.go
+++ b/internal/placement/dotterplacer/options.go
@@ -20,7 +20,7 @@
 	// DefaultTargetSlowdown is the slowdown up to which a latency-critical task is undisturbed.
 	DefaultTargetSlowdown = 1.3
 
-	defaultPlacementsPerPlan        = 256
+	defaultPlacementsPerPlan        = 64
 	defaultThrottledPercent         = 2
 	defaultEvictionsPerMinute       = 6
 	defaultEvictionBurst            = 3
--- a/internal/placement/dotterplacer/place.go
+++ b/internal/placement/dotterplacer/place.go
@@ -29,7 +29,7 @@
 	size := r.size(t)
 	patient := !t.Critical && !t.Urgent && !r.overtaken(t, r.placer.options.Patience)
 	s := shape{template: t.Template, size: size, urgent: t.Urgent, patient: patient}
-	if (r.blocked[s] && !r.promised(t.ID)) || !r.shares.Allows(t.Team, size) {
+	if (r.passed(s) && !r.promised(t.ID)) || !r.shares.Allows(t.Team, size) {
 		return false
 	}
 	avoided := r.placer.blame.Avoided(t.ID)
@@ -45,11 +45,28 @@
 	if r.overtaken(t, r.placer.options.StarvationSpan) && r.reserve(t, size) {
 		return false
 	}
-	r.blocked[s] = len(avoided) == 0
+	if len(avoided) == 0 {
+		r.pass(s, reason)
+	}
 	r.cramped = r.cramped || reason == reasonNoRoom
 	return false
 }
 
+// pass notes that tasks of shape s need not be tried again in this round. What
+// does harm does it at about any size, and for as long as the predictions last.
+func (r *round) pass(s shape, reason string) {
+	if reason == reasonHarm {
+		r.placer.refused[s.sizeless()] = true
+		return
+	}
+	r.blocked[s] = true
+}
+
+// passed reports whether tasks of shape s need not be tried in this round.
+func (r *round) passed(s shape) bool {
+	return r.blocked[s] || r.placer.refused[s.sizeless()]
+}
+
 // promised reports whether the task called id has a claim or a reservation.
 func (r *round) promised(id dottertask.ID) bool {
 	if _, ok := r.placer.claims[id]; ok {
@@ -70,6 +87,7 @@
 		if !r.takes(w, t, size, ends) || slices.Contains(avoided, w.host.Name) {
 			continue
 		}
+		r.scored++
 		cost, harm := r.cost(c, w)
 		if harm && patient {
 			refusal = reasonHarm
--- a/internal/placement/dotterplacer/placer.go
+++ b/internal/placement/dotterplacer/placer.go
@@ -34,6 +34,7 @@
 	claims       map[dottertask.ID]claim
 	reservations map[dottertask.ID]string // worker held for a task that has waited long
 	evictedAt    map[dottertask.ID]dotterclock.Millis
+	refused      map[shape]bool // harmful wherever there is room, by the predictions in use
 	evictions    *budget
 	urgent       *budget
 	targets      map[string]float64 // slowdown wanted of latency-critical templates, from latency reports
@@ -54,6 +55,7 @@
 		claims:       make(map[dottertask.ID]claim),
 		reservations: make(map[dottertask.ID]string),
 		evictedAt:    make(map[dottertask.ID]dotterclock.Millis),
+		refused:      make(map[shape]bool),
 		evictions:    newBudget(options.EvictionsPerMinute, options.EvictionBurst),
 		urgent:       newBudget(options.UrgentEvictionsPerMinute, options.UrgentEvictionBurst),
 		targets:      make(map[string]float64),
@@ -63,7 +65,9 @@
 // Plan decides on the state.
 func (p *Placer) Plan(state dotterplan.State) dotterplan.Plan {
 	p.plans++
-	p.effects.refresh(state.Now)
+	if p.effects.refresh(state.Now) {
+		clear(p.refused)
+	}
 	r := newRound(p, state)
 	r.endExhausted()
 	r.control()
--- a/internal/placement/dotterplacer/queue.go
+++ b/internal/placement/dotterplacer/queue.go
@@ -7,6 +7,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
+// scoresPerPlan bounds the pairs of task and worker that one Plan scores; what
+// is found harmful is remembered, so that the next Plan gets further.
+const scoresPerPlan = 4000
+
 // class is the queued tasks of one rank and urgency, by team and age.
 type class struct {
 	rank   int
@@ -68,7 +72,7 @@
 	for _, c := range classify(r.state.Queue) {
 		r.placeClass(c)
 	}
-	if !r.cramped {
+	if !r.cramped && !r.full() {
 		r.placer.advanceFront(r.state.Now)
 	}
 }
@@ -86,7 +90,7 @@
 // that it has none.
 func (r *round) placeNext(c *class, team int) bool {
 	tasks := c.tasks[team]
-	for len(tasks) > 0 {
+	for len(tasks) > 0 && !r.full() {
 		t := r.state.Queue[tasks[0]]
 		tasks = tasks[1:]
 		if r.place(t) {
@@ -97,7 +101,7 @@
 	return false
 }
 
-// full reports whether this round has made as many assignments as one Plan may.
+// full reports whether this round has done as much as one Plan may.
 func (r *round) full() bool {
-	return len(r.plan.Assignments) >= r.placer.options.PlacementsPerPlan
+	return len(r.plan.Assignments) >= r.placer.options.PlacementsPerPlan || r.scored >= scoresPerPlan
 }
--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -25,6 +25,7 @@
 	ended     map[dottertask.ID]bool
 	capacity  float64 // cores of all workers
 	withheld  float64 // cores that throttles withhold
+	scored    int     // pairs of task and worker
 	cramped   bool    // a task found no room
 	plan      dotterplan.Plan
 }
@@ -37,6 +38,12 @@
 	patient  bool
 }
 
+// sizeless returns s for any size.
+func (s shape) sizeless() shape {
+	s.size = dotterroom.Room{}
+	return s
+}
+
 // rackTemplate is a key of the spread over racks.
 type rackTemplate struct {
 	rack     string
--- a/internal/placement/dottersize/sizes.go
+++ b/internal/placement/dottersize/sizes.go
@@ -86,7 +86,6 @@
 		return t
 	}
 	t = newTemplate()
-	t.touched = true
 	s.templates[name] = t
 	if len(s.names) < s.limit {
 		s.names = append(s.names, name)
