--- /dev/null
+++ b/internal/server/dottersettings/timing.go
@@ -0,0 +1,30 @@
+package dottersettings
+
+import (
+	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
+
+// Timing holds the daemon's periods and spans, all in milliseconds.
+type Timing struct {
+	StoreLeaseMillis  dotterclock.Millis // lease on this host's membership and shards
+	HostListLagMillis dotterclock.Millis // most by which the platform's host list lags
+	WorkerLeaseMillis dotterclock.Millis // lease of an attempt on a worker
+	DrainMillis       dotterclock.Millis // most that a graceful shutdown waits for requests in progress
+}
+
+func defaultTiming() Timing {
+	return Timing{
+		StoreLeaseMillis:  10000,
+		HostListLagMillis: 30000,
+		WorkerLeaseMillis: 10000,
+		DrainMillis:       30000,
+	}
+}
+
+func (t Timing) check(c *dottercheck.Checker) {
+	dottercheck.Range(c, "/Timing/StoreLeaseMillis", t.StoreLeaseMillis, 500, 60000, "ms")
+	dottercheck.Range(c, "/Timing/HostListLagMillis", t.HostListLagMillis, 100, 600000, "ms")
+	dottercheck.Range(c, "/Timing/WorkerLeaseMillis", t.WorkerLeaseMillis, 1000, 600000, "ms")
+	dottercheck.Range(c, "/Timing/DrainMillis", t.DrainMillis, 0, 3600000, "ms")
+}
--- /dev/null
+++ b/internal/task/dotterservice/layouts.go
@@ -0,0 +1,116 @@
+package dotterservice
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// refreshLayouts reads the layouts and adds what is missing: racks of this
+// host's domain, and whole layouts of any. The keys of submissions are spread
+// over all layouts, so a domain without entry hosts needs one too.
+func (s *Service) refreshLayouts(ctx context.Context, now dotterclock.Millis) {
+	document, ok := s.options.Configuration.Current()
+	if !ok || now < s.layoutsAt && !s.lacksLayout(document) {
+		return
+	}
+	entries, _, err := s.options.Store.List(ctx, dottershard.LayoutPrefix)
+	if err != nil {
+		return
+	}
+	s.layoutsAt = now + s.timing.LayoutRefresh
+	versions := make(map[string]dotterkey.Version)
+	for _, e := range entries {
+		layout, err := dottershard.DecodeLayout(e.Value)
+		if err != nil {
+			s.logger().Error("Layout unreadable", zap.String("Key", e.Key), zap.Error(err))
+			continue
+		}
+		s.setLayout(layout)
+		versions[layout.FailureDomain] = e.Version
+	}
+	for _, domain := range document.FailureDomains {
+		version, known := versions[domain.Name]
+		if !known || domain.Name == s.options.FailureDomain {
+			s.growLayout(ctx, domain, version)
+		}
+	}
+}
+
+func (s *Service) setLayout(layout dottershard.Layout) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.layouts[layout.FailureDomain] = layout
+}
+
+// growLayout writes a domain's layout if it is new or lacks a rack. A lost
+// answer or a conflict is resolved by the next read.
+func (s *Service) growLayout(ctx context.Context, domain dotterconfig.FailureDomain, version dotterkey.Version) {
+	layout, known := s.layout(domain.Name)
+	if !known {
+		layout = dottershard.NewLayout(domain.Name, domain.ShardCount())
+	}
+	grown, changed := layout.WithRacks(s.listedRacks(domain.Name))
+	if known && !changed {
+		return
+	}
+	_, err := s.options.Store.Put(ctx, grown.Key(), grown.Encode(), version, "")
+	if err == nil {
+		s.setLayout(grown)
+		return
+	}
+	s.layoutsAt = 0
+	if !errors.Is(err, dotterelusher.ErrStoreConflict) {
+		s.logger().Warn("Layout not written", zap.Error(err))
+	}
+}
+
+func (s *Service) listedRacks(failureDomain string) []string {
+	var racks []string
+	for _, h := range s.options.Directory.Hosts() {
+		if h.Role == dotterhost.RoleWorker && h.FailureDomain == failureDomain {
+			racks = append(racks, h.Rack)
+		}
+	}
+	return racks
+}
+
+// lacksLayout reports whether a layout is missing, or a rack in this host's domain's.
+func (s *Service) lacksLayout(document dotterconfig.Document) bool {
+	if !s.knowsLayouts(document) {
+		return true
+	}
+	layout, known := s.layout(s.options.FailureDomain)
+	if !known {
+		return false
+	}
+	_, changed := layout.WithRacks(s.listedRacks(s.options.FailureDomain))
+	return changed
+}
+
+// knowsLayouts reports whether this host knows the shards of every failure domain.
+func (s *Service) knowsLayouts(document dotterconfig.Document) bool {
+	for _, domain := range document.FailureDomains {
+		if _, known := s.layout(domain.Name); !known {
+			return false
+		}
+	}
+	return true
+}
+
+// belongs reports whether worker is one of the shard's.
+func (s *Service) belongs(shard dottershard.Name, worker dotterhost.Host) bool {
+	if worker.FailureDomain != shard.FailureDomain {
+		return false
+	}
+	layout, known := s.layout(shard.FailureDomain)
+	return known && layout.Owns(shard.Number, worker.Rack)
+}
