--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -21,7 +21,7 @@
 	holder *Holder
 }
 
-func startNode(t *testing.T, name, domain string, store *dottermemory.Store, seeds ...string) *node {
+func startNode(t testing.TB, name, domain string, store *dottermemory.Store, seeds ...string) *node {
 	t.Helper()
 	clock := dotterclock.NewSystem()
 	registry := prometheus.NewRegistry()
@@ -61,7 +61,7 @@
 	}}
 }
 
-func edit(t *testing.T, store *dottermemory.Store, e Edit) {
+func edit(t testing.TB, store *dottermemory.Store, e Edit) {
 	t.Helper()
 	_, err := NewEditor(store, dotterclock.NewSystem(), accept).Edit(t.Context(), e)
 	require.NoError(t, err)
