Tasks: move waiting tasks to idle shards, follow cancellations, faults in pairs

Cause: a call's tasks go to one shard, and the others stood idle beside its queue; a cancellation logged between an offer and its move was lost (seen in TestCancellationFollowsMovedTasks: half of 40 tasks went on). Cancellations are passed on from either side of a move. A task whose home has forgotten where it went is looked for in every shard.

--- a/internal/task/dotterowner/cancel.go
+++ b/internal/task/dotterowner/cancel.go
@@ -13,6 +13,7 @@
 type Cancelled struct {
 	Count int                        // tasks that were not yet final
 	Moved map[string][]dottertask.ID // tasks that other shards have taken over
+	Other []dottertask.ID            // tasks that the shard doesn't know
 }
 
 // Cancel cancels the tasks in one record. Queued tasks end at once, running
@@ -39,7 +40,9 @@
 	for _, id := range ids {
 		e, ok := o.ledger.Entry(id)
 		switch {
-		case !ok || e.Task.State.Final():
+		case !ok:
+			result.Other = append(result.Other, id)
+		case e.Task.State.Final():
 		case e.Task.State == dottertask.StateMoved:
 			result.Moved[e.Target] = append(result.Moved[e.Target], id)
 		default:
@@ -80,6 +83,7 @@
 
 // stopCancelled ends the attempts of tasks whose cancellation is in the log.
 func (o *Owner) stopCancelled(ids []dottertask.ID) {
+	o.passOnMoved(ids)
 	for _, id := range ids {
 		r, ok := o.runs[id]
 		if !ok {
--- a/internal/task/dotterowner/decisions.go
+++ b/internal/task/dotterowner/decisions.go
@@ -10,6 +10,6 @@
 func (o *Owner) logMoved(target string, ids []dottertask.ID) {
 	for _, id := range ids {
 		o.logger.Info("Task moved", zap.String("Task", string(id)), zap.String("Target", target),
-			zap.String("Reason", "this shard can't run it"), zap.Int64("Revision", o.document.Revision))
+			zap.String("Reason", "this shard can't run it now"), zap.Int64("Revision", o.document.Revision))
 	}
 }
--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -63,6 +63,8 @@
 	overfull      []string
 	late          []dotterattempt.Start // starts kept back, to arrive later
 	hold          bool                  // keep the next starts back
+	between       bool                  // another owner comes between the two
+	outage        dotterclock.Millis    // the store is down for so long before the takeover
 	document      dotterconfig.Document
 	allowed       dotterelusher.StartPermission
 }
@@ -362,6 +364,9 @@
 // Targets returns nothing.
 func (noHandoff) Targets(dottershard.Name) []string { return nil }
 
+// Spare returns nothing.
+func (noHandoff) Spare(dottershard.Name) map[string]dotterroom.Room { return nil }
+
 // Adopt refuses.
 func (noHandoff) Adopt(context.Context, string, []dotterrecord.Entry) error { return ErrRefused }
 
@@ -393,15 +398,15 @@
 		if done() {
 			return
 		}
-		p.pass(10)
+		p.pass(20)
 	}
 	require.True(p.t, done(), "not reached after %d ms", limit)
 }
 
 // pass lets virtual time pass in small steps.
 func (p *fakePool) pass(span dotterclock.Millis) {
-	for ; span > 0; span -= 10 {
-		p.clock.Advance(10)
+	for ; span > 0; span -= 20 {
+		p.clock.Advance(20)
 		time.Sleep(100 * time.Microsecond)
 	}
 }
--- a/internal/task/dotterowner/handoff.go
+++ b/internal/task/dotterowner/handoff.go
@@ -5,8 +5,6 @@
 	"errors"
 	"sort"
 
-	"go.uber.org/zap"
-
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
@@ -26,7 +24,11 @@
 	for target, f := range o.offers {
 		o.callOffer(target, f, now)
 	}
-	if o.away || !o.cannotRun(now) {
+	if o.away {
+		return
+	}
+	if !o.cannotRun(now) {
+		o.balance(now)
 		return
 	}
 	targets := o.options.Handoff.Targets(o.options.Shard)
@@ -84,15 +86,19 @@
 }
 
 func (o *Owner) makeOffer(target string, ids []dottertask.ID) {
-	o.propose(change{
-		records: []dotterrecord.Record{{Offered: &dotterrecord.Offered{Tasks: ids, Target: target}}},
+	o.propose(o.offering(target, ids))
+}
+
+func (o *Owner) offering(target string, ids []dottertask.ID) change {
+	return change{
+		records: []dotterrecord.Record{{Offered: &dotterrecord.Offered{Tasks: ids, Target: target, At: o.options.Clock.Now()}}},
 		committed: func() {
 			f := o.offerTo(target)
 			for _, id := range ids {
 				f.add(id)
 			}
 		},
-	})
+	}
 }
 
 // callOffer sends the tasks of an offer to the target's owner.
@@ -151,33 +157,11 @@
 			f.remove(ids)
 			o.options.Metrics.Moves.Add(float64(len(ids)))
 			o.logMoved(target, ids)
-			o.passOnCancellations(target, ids)
+			o.passOnCancelled(target, ids)
 		},
 	}
 }
 
-// passOnCancellations tells target of cancellations that were logged here after
-// the tasks were sent.
-func (o *Owner) passOnCancellations(target string, ids []dottertask.ID) {
-	var cancelled []dottertask.ID
-	for _, id := range ids {
-		if e, ok := o.ledger.Entry(id); ok && e.Cancelling {
-			cancelled = append(cancelled, id)
-		}
-	}
-	if len(cancelled) == 0 {
-		return
-	}
-	o.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), o.limits.CallTimeout.Duration())
-		defer cancel()
-		if err := o.options.Handoff.Cancel(ctx, target, cancelled); err != nil {
-			o.logger.Warn("Cancellation not passed on", zap.String("Target", target), zap.Error(err))
-		}
-		return nil
-	})
-}
-
 func (o *Owner) withdrawn(f *offer, ids []dottertask.ID) change {
 	return change{
 		records:   []dotterrecord.Record{{Offered: &dotterrecord.Offered{Tasks: ids, At: o.options.Clock.Now()}}},
--- a/internal/task/dotterowner/kill_test.go
+++ b/internal/task/dotterowner/kill_test.go
@@ -25,14 +25,36 @@
 		} {
 			t.Run(fmt.Sprintf("%s call %d", name, step), func(t *testing.T) {
 				t.Parallel()
-				takeOverAfter(t, f)
+				takeOverAfter(t, f, func(*fakePool) {})
 			})
+			if step%pairSteps != 0 {
+				continue
+			}
+			for other, strike := range secondFaults {
+				t.Run(fmt.Sprintf("%s call %d and %s", name, step, other), func(t *testing.T) {
+					t.Parallel()
+					takeOverAfter(t, f, strike)
+				})
+			}
 		}
 	}
 }
 
+// pairSteps is the number of steps between two that are tried with a second fault.
+const pairSteps = 9
+
+// secondFaults come together with the first owner's.
+var secondFaults = map[string]func(p *fakePool){
+	"answers of the store lost":  func(p *fakePool) { p.store.LoseAnswers(6) },
+	"answers of workers lost":    func(p *fakePool) { p.workers["d-w0"].lose, p.workers["d-w1"].lose = 3, 3 },
+	"a worker that refuses":      func(p *fakePool) { p.workers["d-w0"].refuse = true },
+	"a worker that is cut off":   func(p *fakePool) { p.workers["d-w1"].cut = true },
+	"a second epoch in between":  func(p *fakePool) { p.between = true },
+	"a store that is down after": func(p *fakePool) { p.outage = 5 * dotterclock.Second },
+}
+
 // takeOverAfter runs tasks, strikes the first owner, and lets a second one finish.
-func takeOverAfter(t *testing.T, f fault) {
+func takeOverAfter(t *testing.T, f fault, second func(*fakePool)) {
 	p := newPool(t, 2)
 	first := newProcess(f)
 	opened := p.tryOpen(p.options("a/1").within(p, first))
@@ -47,9 +69,12 @@
 		p.pump(20*dotterclock.Second, func() bool { return first.hasStruck() || p.allEnded(a, ids) })
 		p.abandon(a, first)
 	}
-	b := p.open(p.options("b/1"))
+	p.set(func() { second(p) })
+	p.strikeBetween()
+	b := p.openSurely(p.options("b/1"))
 	defer b.Stop()
 	p.pass(2 * dotterclock.Second)
+	p.heal()
 	if f.freeze {
 		first.thaw()
 	}
@@ -68,6 +93,39 @@
 	}
 }
 
+// strikeBetween does what a second fault does before the takeover.
+func (p *fakePool) strikeBetween() {
+	if p.between {
+		middle := p.openSurely(p.options("m/1"))
+		p.pass(dotterclock.Second)
+		middle.tomb.Kill(ErrDeposed)
+	}
+	if p.outage > 0 {
+		p.store.SetDown(true)
+		p.pass(p.outage)
+		p.store.SetDown(false)
+	}
+}
+
+// heal ends a cut.
+func (p *fakePool) heal() {
+	if !p.workers["d-w1"].cut {
+		return
+	}
+	p.pass(20 * dotterclock.Second)
+	p.set(func() { p.workers["d-w1"].cut = false })
+}
+
+// openSurely opens an owner, again while its claim stays without answer.
+func (p *fakePool) openSurely(options Options) *Owner {
+	for range 10 {
+		if o, err := Open(context.Background(), options); err == nil {
+			return o
+		}
+	}
+	return p.open(options)
+}
+
 // tryOpen opens an owner beside the test; a nil one could not be opened.
 func (p *fakePool) tryOpen(options Options) chan *Owner {
 	opened := make(chan *Owner, 1)
--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -8,6 +8,7 @@
 	dotterelusher "github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
 	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
@@ -18,6 +19,9 @@
 	// Targets returns shards of other failure domains that may take tasks of shard.
 	Targets(shard dottershard.Name) []string
 
+	// Spare returns the room that other shards have free while none of their tasks wait.
+	Spare(shard dottershard.Name) map[string]dotterroom.Room
+
 	// Adopt asks the owner of target to log the entries. ErrRefused means that it
 	// has not and, unless an earlier call is still under way, will not.
 	Adopt(ctx context.Context, target string, entries []dotterrecord.Entry) error
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -43,6 +43,9 @@
 	runs         map[dottertask.ID]*run
 	offers       map[string]*offer
 	offerSize    int // most tasks in the next offer
+	nextBalance  dotterclock.Millis
+	nextSync     dotterclock.Millis
+	hostsChanged <-chan struct{}
 	dirty        bool
 	nextPlan     dotterclock.Millis
 	replanAt     dotterclock.Millis
@@ -188,7 +191,9 @@
 		o.dirty = true
 	}
 	o.permission = o.options.Configuration.StartsAllowed(o.options.Shard.FailureDomain)
-	o.syncWorkers()
+	if o.syncDue(now) {
+		o.syncWorkers()
+	}
 	o.expire(now)
 	o.drain(now)
 	if o.away {
--- /dev/null
+++ b/internal/task/dotterowner/pass_on.go
@@ -0,0 +1,70 @@
+package dotterowner
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+const (
+	// passOnTries is how often a cancellation is passed on before it is given up.
+	passOnTries = 10
+	// passOnRetry is the time between two tries.
+	passOnRetry = dotterclock.Second
+)
+
+// passOnCancelled tells target of those among the tasks that were cancelled
+// here while they were on their way.
+func (o *Owner) passOnCancelled(target string, ids []dottertask.ID) {
+	var cancelled []dottertask.ID
+	for _, id := range ids {
+		if e, ok := o.ledger.Entry(id); ok && e.Cancelling {
+			cancelled = append(cancelled, id)
+		}
+	}
+	o.passOn(target, cancelled)
+}
+
+// passOnMoved tells the shards that have taken over some of the tasks, whose
+// cancellation came into the log after their move.
+func (o *Owner) passOnMoved(ids []dottertask.ID) {
+	moved := make(map[string][]dottertask.ID)
+	for _, id := range ids {
+		if e, ok := o.ledger.Entry(id); ok && e.Task.State == dottertask.StateMoved {
+			moved[e.Target] = append(moved[e.Target], id)
+		}
+	}
+	for target, part := range moved {
+		o.passOn(target, part)
+	}
+}
+
+func (o *Owner) passOn(target string, ids []dottertask.ID) {
+	if len(ids) == 0 {
+		return
+	}
+	o.tomb.Go(func() error {
+		for range passOnTries {
+			err := o.passOnOnce(target, ids)
+			if err == nil {
+				return nil
+			}
+			o.logger.Warn("Cancellation not passed on", zap.String("Target", target), zap.Error(err))
+			select {
+			case <-o.tomb.Dying():
+				return nil
+			case <-o.options.Clock.After(passOnRetry):
+			}
+		}
+		return nil
+	})
+}
+
+func (o *Owner) passOnOnce(target string, ids []dottertask.ID) error {
+	ctx, cancel := context.WithTimeout(context.Background(), o.limits.CallTimeout.Duration())
+	defer cancel()
+	return o.options.Handoff.Cancel(ctx, target, ids)
+}
--- a/internal/task/dotterowner/queries.go
+++ b/internal/task/dotterowner/queries.go
@@ -55,8 +55,9 @@
 
 // Use returns what the shard's attempts hold and its workers' capacity.
 func (o *Owner) Use(ctx context.Context) (PoolUse, error) {
-	use := PoolUse{Teams: make(map[string]dotterroom.Room)}
+	use := PoolUse{Teams: make(map[string]dotterroom.Room), Shards: make(map[string]ShardLoad)}
 	err := o.ask(ctx, func() {
+		use.Shards[o.options.Shard.String()] = o.load()
 		for _, w := range o.workers {
 			if w.listed {
 				use.Pool = use.Pool.Add(w.host.Capacity)
@@ -70,3 +71,12 @@
 	})
 	return use, err
 }
+
+func (o *Owner) load() ShardLoad {
+	_, ahead := o.countRuns()
+	load := ShardLoad{Queued: o.ledger.QueueLen() + ahead + o.pendingTasks}
+	for _, w := range o.usableWorkers() {
+		load.Free = load.Free.Add(w.free())
+	}
+	return load
+}
--- a/internal/task/dotterowner/runs.go
+++ b/internal/task/dotterowner/runs.go
@@ -1,10 +1,29 @@
 package dotterowner
 
 import (
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
+// syncInterval is the longest time between two looks at the host list, which
+// also shows racks that the layout has given to the shard since.
+const syncInterval = dotterclock.Second
+
+// syncDue reports whether the host list changed, or wasn't looked at for a while.
+func (o *Owner) syncDue(now dotterclock.Millis) bool {
+	select {
+	case <-o.hostsChanged:
+	default:
+		if now < o.nextSync {
+			return false
+		}
+	}
+	o.nextSync = now + syncInterval
+	o.hostsChanged = o.options.Directory.Changed()
+	return true
+}
+
 // syncWorkers brings the workers in step with the host list.
 func (o *Owner) syncWorkers() {
 	now := o.options.Clock.Now()
--- a/internal/task/dotterservice/handoff.go
+++ b/internal/task/dotterservice/handoff.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	dotterelusher "github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
@@ -39,6 +40,27 @@
 	return targets
 }
 
+// Spare returns the room that other shards have free while none of their tasks
+// wait, as last heard; shards that have not been heard of since tasks were
+// moved to them may be filled twice, and then queue.
+func (h handoff) Spare(shard dottershard.Name) map[string]dotterroom.Room {
+	document, ok := h.service.options.Configuration.Current()
+	if !ok {
+		return nil
+	}
+	spare := make(map[string]dotterroom.Room)
+	for text, load := range h.service.poolUse().Shards {
+		name, ok := dottershard.ParseName(text)
+		if !ok || name == shard || document.DomainOut(name.FailureDomain) {
+			continue
+		}
+		if load.Queued == 0 && load.Free.MilliCores > 0 {
+			spare[text] = load.Free
+		}
+	}
+	return spare
+}
+
 // Adopt asks the owner of target to log the entries.
 func (h handoff) Adopt(ctx context.Context, target string, entries []dotterrecord.Entry) error {
 	reply, err := h.service.call(ctx, MethodAdopt, Call{Shard: target, Entries: entries}, h.service.answerAdopt)
--- a/internal/task/dotterservice/messages.go
+++ b/internal/task/dotterservice/messages.go
@@ -32,6 +32,7 @@
 	Target    string                     `json:",omitempty"` // shard that took the task over
 	Cancelled int                        `json:",omitempty"`
 	Moved     map[string][]dottertask.ID `json:",omitempty"`
+	Other     []dottertask.ID            `json:",omitempty"` // not known to the shard
 	Totals    []dotterrecord.Total       `json:",omitempty"`
 	Use       *dotterowner.PoolUse       `json:",omitempty"`
 }
--- a/internal/task/dotterservice/query.go
+++ b/internal/task/dotterservice/query.go
@@ -12,7 +12,7 @@
 )
 
 // maxHops is how often a task that moves between shards is followed.
-const maxHops = 8
+const maxHops = 64
 
 // Get returns the task called id from the shard that has it now.
 func (s *Service) Get(ctx context.Context, id dottertask.ID) (dottertask.Task, error) {
@@ -20,7 +20,34 @@
 	if !ok {
 		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskNotFound, "%q", id)
 	}
-	shard := home.String()
+	task, err := s.follow(ctx, home.String(), id)
+	if errors.Is(err, dotterelusher.ErrTaskNotFound) {
+		return s.search(ctx, home, id)
+	}
+	return task, err
+}
+
+// search asks every other shard for a task of which its home no longer says
+// where it moved to, because too many have ended or moved there since.
+func (s *Service) search(ctx context.Context, home dottershard.Name, id dottertask.ID) (dottertask.Task, error) {
+	failure := eris.Wrapf(dotterelusher.ErrTaskNotFound, "%q", id)
+	for _, name := range s.allShards() {
+		if name == home {
+			continue
+		}
+		task, err := s.follow(ctx, name.String(), id)
+		if err == nil {
+			return task, nil
+		}
+		if !errors.Is(err, dotterelusher.ErrTaskNotFound) {
+			failure = err
+		}
+	}
+	return dottertask.Task{}, failure
+}
+
+// follow returns the task from the shard that has it now, beginning at shard.
+func (s *Service) follow(ctx context.Context, shard string, id dottertask.ID) (dottertask.Task, error) {
 	for range maxHops {
 		reply, err := s.call(ctx, MethodGet, Call{Shard: shard, IDs: []dottertask.ID{id}}, s.answerGet)
 		if err == nil {
@@ -67,36 +94,54 @@
 		}
 		byShard[home.String()] = append(byShard[home.String()], id)
 	}
+	count, others, err := s.cancelAll(ctx, byShard)
+	if len(others) == 0 {
+		return count, err
+	}
+	// Their homes no longer say where they moved to: ask every shard.
+	everywhere := make(map[string][]dottertask.ID)
+	for _, name := range s.allShards() {
+		everywhere[name.String()] = others
+	}
+	found, _, searchErr := s.cancelAll(ctx, everywhere)
+	return count + found, errors.Join(err, searchErr)
+}
+
+// cancelAll cancels the tasks of each shard, follows those that have moved, and
+// returns how many were not yet final and which no shard knew.
+func (s *Service) cancelAll(ctx context.Context, byShard map[string][]dottertask.ID) (int, []dottertask.ID, error) {
 	count := 0
+	var others []dottertask.ID
 	var failure error
 	for range maxHops {
 		moved := make(map[string][]dottertask.ID)
 		for shard, part := range byShard {
-			n, err := s.cancelIn(ctx, shard, part, moved)
-			count += n
+			reply, err := s.cancelIn(ctx, shard, part)
 			failure = errors.Join(failure, err)
+			count += reply.Cancelled
+			others = append(others, reply.Other...)
+			for target, ids := range reply.Moved {
+				moved[target] = append(moved[target], ids...)
+			}
 		}
 		if len(moved) == 0 {
 			break
 		}
 		byShard = moved
 	}
-	return count, failure
+	return count, others, failure
 }
 
-// cancelIn cancels tasks of one shard and adds those that have moved on to moved.
-func (s *Service) cancelIn(ctx context.Context, shard string, ids []dottertask.ID, moved map[string][]dottertask.ID) (int, error) {
+// cancelIn cancels tasks of one shard.
+func (s *Service) cancelIn(ctx context.Context, shard string, ids []dottertask.ID) (Reply, error) {
 	reply, err := s.call(ctx, MethodCancel, Call{Shard: shard, IDs: ids}, s.answerCancel)
-	if err != nil {
-		return 0, err
+	if err == nil {
+		err = reply.err()
 	}
-	if err := reply.err(); err != nil {
-		return 0, err
-	}
-	for target, part := range reply.Moved {
-		moved[target] = append(moved[target], part...)
+	if err != nil {
+		return Reply{}, err
 	}
-	return reply.Cancelled, nil
+	return reply, nil
 }
 
 func (s *Service) answerCancel(ctx context.Context, call Call) Reply {
@@ -108,5 +153,6 @@
 	reply := replyOf(err)
 	reply.Cancelled = result.Count
 	reply.Moved = result.Moved
+	reply.Other = result.Other
 	return reply
 }
--- a/internal/task/dotterservice/service_test.go
+++ b/internal/task/dotterservice/service_test.go
@@ -352,3 +352,54 @@
 	c.pump(120*dotterclock.Second, c.allDone("b", tasks))
 	c.checkTruth()
 }
+
+func TestWaitingTasksMoveToIdleShards(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	long := dottersubmission.Submission{Template: "once", RunMillis: 8000}
+	tasks := c.submit("a", repeat(48, long)...)
+	c.pump(200*dotterclock.Second, c.allDone("c", tasks))
+	workers := map[string]bool{}
+	for _, r := range c.recorder.Truth().Runs {
+		workers[r.Worker] = true
+	}
+	require.Len(t, workers, 4, "one call goes to one shard; the others help")
+	c.checkTruth()
+}
+
+func TestCancellationFollowsMovedTasks(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	tasks := c.submit("a", repeat(40, dottersubmission.Submission{Template: "once", RunMillis: 600_000})...)
+	c.setOut("d", true)
+	c.pump(60*dotterclock.Second, func() bool { return c.countState(tasks, dottertask.StateMoved) == 0 && c.service("c").queued() >= 10 })
+	ids := make([]dottertask.ID, len(tasks))
+	for i, task := range tasks {
+		ids[i] = task.ID
+	}
+	cancelled := make(chan int, 1)
+	go func() {
+		n, _ := c.service("b").Cancel(context.Background(), ids)
+		cancelled <- n
+	}()
+	c.pump(120*dotterclock.Second, func() bool { return c.countState(tasks, dottertask.StateCancelled) == len(tasks) })
+	require.Equal(t, len(tasks), <-cancelled)
+}
+
+func (s *Service) queued() int {
+	sum := 0
+	for _, status := range s.Shards() {
+		sum += status.Queued
+	}
+	return sum
+}
+
+func (c *cluster) countState(tasks []dottertask.Task, state dottertask.State) int {
+	count := 0
+	for _, t := range tasks {
+		if got, err := c.service("b").Get(context.Background(), t.ID); err == nil && got.State == state {
+			count++
+		}
+	}
+	return count
+}
