Tasks: bound segments by their length in JSON, answer slow submissions in time

Cause: the estimate of a record's length took no account of escapes, so a payload of quotes or control characters could make a segment longer than a value may be; and a submission waited for the store call's own timeout while the store was slow. Change: texts are measured as JSON writes them, HTML is no longer escaped, a payload has at most 32 KB, a cancellation 10,000 tasks; a submission whose write takes longer than 2 s is answered Unknown, and the store call may take 4 s, so that a slow store makes progress. Ruled out: base64 for payloads (a third more bytes for all of them).

--- a/internal/task/dotterowner/cancel.go
+++ b/internal/task/dotterowner/cancel.go
@@ -9,6 +9,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterrecord"
 )
 
+// maxCancelled is the most tasks of one cancellation, so that its record stays
+// far below a value's largest size.
+const maxCancelled = 10_000
+
 // Cancelled is the answer to Cancel.
 type Cancelled struct {
 	Count int                        // tasks that were not yet final
@@ -36,6 +40,10 @@
 		answers <- answer{err: eris.Wrap(ErrRefused, "the store is away")}
 		return
 	}
+	if len(ids) > maxCancelled {
+		answers <- answer{err: eris.Wrapf(ErrInvalid, "more than %d tasks", maxCancelled)}
+		return
+	}
 	var cancelled []dottertask.ID
 	for _, id := range ids {
 		e, ok := o.ledger.Entry(id)
--- a/internal/task/dotterowner/commit.go
+++ b/internal/task/dotterowner/commit.go
@@ -26,6 +26,7 @@
 
 // commit starts the next write, or the next try of the unresolved one, if due.
 func (o *Owner) commit(now dotterclock.Millis) {
+	o.answerSlow(now)
 	if now < o.nextWrite || o.writing != nil && !o.writing.uncertain {
 		return
 	}
@@ -48,6 +49,14 @@
 	})
 }
 
+// answerSlow gives callers that wait for a slow write their final answer.
+func (o *Owner) answerSlow(now dotterclock.Millis) {
+	if o.writing != nil && now-o.writing.sealedAt >= o.limits.AnswerWithin {
+		o.setAway(true)
+		o.writing.answerUnknown()
+	}
+}
+
 func (o *Owner) seal(now dotterclock.Millis) {
 	b, rest := takeBatch(o.pending)
 	o.pending = rest
@@ -126,9 +135,6 @@
 func (o *Owner) unresolved(b *batch, now dotterclock.Millis) {
 	o.setAway(true)
 	b.uncertain = true
-	if now-b.sealedAt >= o.limits.AnswerWithin {
-		b.answerUnknown()
-	}
 	o.retryLater(now)
 }
 
--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -71,7 +71,7 @@
 	return Limits{
 		Tick:           50,
 		CommitInterval: 250,
-		StoreTimeout:   dotterclock.Second,
+		StoreTimeout:   4 * dotterclock.Second,
 		CallTimeout:    2 * dotterclock.Second,
 		Lease:          15 * dotterclock.Second,
 		StartWindow:    3 * dotterclock.Second,
--- a/internal/task/dotterowner/submit.go
+++ b/internal/task/dotterowner/submit.go
@@ -12,6 +12,9 @@
 	"github.com/dotterelusher/dotterelusher/internal/task/dottershardlog"
 )
 
+// maxPayload is the most bytes that a task's payload has.
+const maxPayload = 32 << 10
+
 // answer is what a caller that waits for a commit gets.
 type answer struct {
 	tasks []dottertask.Task
@@ -131,6 +134,11 @@
 	if bytes > dottershardlog.BatchBytes {
 		return eris.Wrap(ErrInvalid, "too many tasks or too much payload for one call")
 	}
+	for i, t := range tasks {
+		if len(t.Payload) > maxPayload {
+			return eris.Wrapf(ErrInvalid, "submission %d: Payload: more than %d bytes", i, maxPayload)
+		}
+	}
 	if o.ledger.Bytes()+bytes > dottershardlog.LiveBytes {
 		return eris.Wrap(ErrRefused, "the shard is full")
 	}
--- a/internal/task/dotterrecord/entry.go
+++ b/internal/task/dotterrecord/entry.go
@@ -66,7 +66,11 @@
 // Bytes returns about how many bytes it takes to state e.
 func (e Entry) Bytes() int {
 	t := e.Task
-	return entryBytes + len(t.Payload) + len(t.Checkpoint) + len(t.Reason) + len(t.Key) + len(t.Team) + len(t.Template)
+	sum := entryBytes
+	for _, text := range []string{t.Payload, t.Checkpoint, t.Reason, t.Key, t.Team, t.Template} {
+		sum += textBytes(text)
+	}
+	return sum
 }
 
 // entryBytes is what an entry takes without its texts.
--- a/internal/task/dotterrecord/segment.go
+++ b/internal/task/dotterrecord/segment.go
@@ -1,6 +1,7 @@
 package dotterrecord
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
@@ -26,11 +27,13 @@
 
 // Encode returns s as it is stored.
 func (s Segment) Encode() []byte {
-	data, err := json.Marshal(s)
-	if err != nil {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false) // it would make payloads several times as long
+	if err := encoder.Encode(s); err != nil {
 		panic(err) // a segment holds only plain values
 	}
-	return data
+	return buffer.Bytes()
 }
 
 // DecodeSegment returns the segment that data holds, or ErrSegmentCorrupt.
--- a/internal/task/dotterservice/query.go
+++ b/internal/task/dotterservice/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -132,8 +133,27 @@
 	return count, others, failure
 }
 
-// cancelIn cancels tasks of one shard.
+// cancelLimit is the most tasks of one cancellation record.
+const cancelLimit = 10_000
+
+// cancelIn cancels tasks of one shard, cancelLimit of them in one append.
 func (s *Service) cancelIn(ctx context.Context, shard string, ids []dottertask.ID) (Reply, error) {
+	sum := Reply{Moved: make(map[string][]dottertask.ID)}
+	for part := range slices.Chunk(ids, cancelLimit) {
+		reply, err := s.cancelPart(ctx, shard, part)
+		if err != nil {
+			return sum, err
+		}
+		sum.Cancelled += reply.Cancelled
+		sum.Other = append(sum.Other, reply.Other...)
+		for target, moved := range reply.Moved {
+			sum.Moved[target] = append(sum.Moved[target], moved...)
+		}
+	}
+	return sum, nil
+}
+
+func (s *Service) cancelPart(ctx context.Context, shard string, ids []dottertask.ID) (Reply, error) {
 	reply, err := s.call(ctx, MethodCancel, Call{Shard: shard, IDs: ids}, s.answerCancel)
 	if err == nil {
 		err = reply.err()
