--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -25,6 +25,7 @@
 	ended     map[dottertask.ID]bool
 	capacity  float64 // cores of all workers
 	withheld  float64 // cores that throttles withhold
+	scored    int     // pairs of task and worker
 	cramped   bool    // a task found no room
 	plan      dotterplan.Plan
 }
@@ -37,6 +38,12 @@
 	patient  bool
 }
 
+// sizeless returns s for any size.
+func (s shape) sizeless() shape {
+	s.size = dotterroom.Room{}
+	return s
+}
+
 // rackTemplate is a key of the spread over racks.
 type rackTemplate struct {
 	rack     string
@@ -110,9 +117,14 @@
 	past.record(r.state.Now, p.groups)
 }
 
-// addHolder takes in what holds room on w.
+// addHolder takes in what holds room on w; of a holder without a task nothing
+// is known but its size.
 func (r *round) addHolder(w *worker, h dotterplan.Holder) {
 	p := r.placer
+	if h.Task.ID == "" {
+		w.hold(h.Size)
+		return
+	}
 	a, ok := p.attempts[h.Task.ID]
 	if !ok {
 		a = &attempt{number: -1}
