Linger before a stopping host closes its callers' connections

Cause: a graceful stop under load cut off 4 of 52 requests with a reset. The server closes connections that look idle at once; a caller that had just been answered had already sent its next request on one. Change: a leaving host goes on answering for 1 s after its requests in progress have ended; each answer closes its connection, so that callers that still send are told before the end. Ruled out: SetKeepAlivesEnabled(false), which closes idle connections at once and has the same race; closing only after the drain time, which holds the process for nothing.

--- a/internal/server/dotterdaemon/daemon.go
+++ b/internal/server/dotterdaemon/daemon.go
@@ -28,6 +28,7 @@
 const (
 	announcePeriod = dotterclock.Millis(500)  // between two looks at what peers are told
 	leaveTimeout   = dotterclock.Millis(5000) // most that leaving the record takes
+	lingerSpan     = dotterclock.Millis(1000) // for which a leaving host still answers refusals
 )
 
 // Daemon is one entry host's process.
@@ -72,7 +73,7 @@
 	}
 	d.tasks = d.newTasks()
 	callers := dotterapi.NewCaller(d.tasks, d.proxy, d.notReady, int64(d.settings.Limits.MaxBodyKB)<<10)
-	if d.caller, err = listen(d.settings.CallerListen, callers.Handler()); err != nil {
+	if d.caller, err = listen(d.settings.CallerListen, d.closingWhenLeaving(callers.Handler())); err != nil {
 		return err
 	}
 	d.operator, err = listen(d.settings.OperatorListen, d.operatorHandler(decisions))
@@ -149,8 +150,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timing.DrainMillis.Duration())
 	defer cancel()
 	d.tasks.Stop()
+	drained := d.proxy.Drain(ctx)
+	d.linger(ctx)
 	faults := []error{
-		d.proxy.Drain(ctx),
+		drained,
 		d.caller.shutdown(ctx),
 		d.proxy.Close(),
 		d.leave(ctx),
@@ -163,6 +166,27 @@
 	return err
 }
 
+// closingWhenLeaving returns handler with answers that close their connections
+// once this host leaves.
+func (d *Daemon) closingWhenLeaving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// linger goes on answering for a while, so that every caller that still sends
+// on an open connection is refused and told to close it. Closing at once would
+// cut off a request that is on its way on a connection that looks idle here.
+func (d *Daemon) linger(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(lingerSpan):
+	}
+}
+
 // leave gives this host's shares back; a store that is away does not hold the
 // process, whose shares then stay unused until it is proved gone.
 func (d *Daemon) leave(ctx context.Context) error {
