--- a/internal/placement/dotterplacer/queue.go
+++ b/internal/placement/dotterplacer/queue.go
@@ -7,6 +7,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
+// scoresPerPlan bounds the pairs of task and worker that one Plan scores; what
+// is found harmful is remembered, so that the next Plan gets further.
+const scoresPerPlan = 4000
+
 // class is the queued tasks of one rank and urgency, by team and age.
 type class struct {
 	rank   int
@@ -63,9 +67,14 @@
 
 // placeQueue places queued tasks by rank, urgency, fair share and age.
 func (r *round) placeQueue() {
+	r.applyClaims()
+	r.applyReservations()
 	for _, c := range classify(r.state.Queue) {
 		r.placeClass(c)
 	}
+	if !r.cramped && !r.full() {
+		r.placer.advanceFront(r.state.Now)
+	}
 }
 
 func (r *round) placeClass(c *class) {
@@ -81,7 +90,7 @@
 // that it has none.
 func (r *round) placeNext(c *class, team int) bool {
 	tasks := c.tasks[team]
-	for len(tasks) > 0 {
+	for len(tasks) > 0 && !r.full() {
 		t := r.state.Queue[tasks[0]]
 		tasks = tasks[1:]
 		if r.place(t) {
@@ -92,7 +101,7 @@
 	return false
 }
 
-// full reports whether this round has made as many assignments as one Plan may.
+// full reports whether this round has done as much as one Plan may.
 func (r *round) full() bool {
-	return len(r.plan.Assignments) >= r.placer.options.PlacementsPerPlan
+	return len(r.plan.Assignments) >= r.placer.options.PlacementsPerPlan || r.scored >= scoresPerPlan
 }
