Requests: a slot is free once the server closed; ejections end within 5 s

Cause: with real faults one after the other (silence, half answers, a dead server, a slow one, refusals; 400 requests/s, a quarter of capacity) 254 of 5,637 requests were refused as WaitTooLong: each half answer kept its slot for 5 s, and a server stayed ejected for up to 20 s after its fault had gone. Longest ejection 5 s. Ruled out: freeing the slot on a reset, which something in between may send.

--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -186,6 +186,44 @@
 	require.Eventually(t, func() bool { return permits.Connections("b1") == 0 }, patience, tick)
 }
 
+func TestSlotOfBrokenRequestIsKeptUnlessTheServerClosed(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		reset  bool
+		kept   bool
+	}{
+		"closed":         {"", false, false},
+		"closed half":    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, false},
+		"reset":          {"", true, true},
+		"not understood": {"220 mail.example ready\r\n\r\n", false, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScripted(t, func(c net.Conn, _ *http.Request, _ int64) {
+				_, _ = io.WriteString(c, tc.answer)
+				if tc.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			c, permits := client(t, Settings{LateMillis: 60 * dotterclock.Second})
+			_, err := exchangeOnce(soon(t, patience), c, s.host(), "r1")
+			var lost *LostError
+			require.ErrorAs(t, err, &lost)
+			assert.Equal(t, 1, permits.Connections("b1"), "the connection is kept in any case")
+			if !tc.kept {
+				<-lost.Ended
+				return
+			}
+			select {
+			case <-lost.Ended:
+				t.Error("the slot counts as free")
+			case <-time.After(50 * time.Millisecond):
+			}
+		})
+	}
+}
+
 func TestServerNeverHasMoreConnectionsThanPermits(t *testing.T) {
 	var most, now int
 	var mu sync.Mutex
--- a/internal/entry/dotterconnection/exchange.go
+++ b/internal/entry/dotterconnection/exchange.go
@@ -68,28 +68,42 @@
 		e.pool.suspect()
 	}
 	ended := make(chan struct{})
-	e.pool.client.background(func() {
-		e.finish(rest, timedOut || cause == errClosedEarly)
-		close(ended)
-	})
+	e.pool.client.background(func() { e.finish(cause, rest, ended) })
 	return &LostError{Cause: cause, TimedOut: timedOut, Ended: ended}
 }
 
-// finish waits until the server's slot is to be counted as free.
-func (e *exchange) finish(rest io.ReadCloser, readOn bool) {
+// finish closes ended when the server's slot is to be counted as free: once the
+// whole answer has come or the server has closed the connection. A reset tells
+// less, since it may come from something between the two ends; after it, as
+// after silence, the slot is kept for a while. The connection's permit is kept
+// in any case: a server may count its connection for a little longer.
+func (e *exchange) finish(cause error, rest io.ReadCloser, ended chan<- struct{}) {
 	client := e.pool.client
 	late := client.settings.LateMillis
 	begin := client.clock.Now()
+	readOn := isTimeout(cause) || errors.Is(cause, errClosedEarly)
 	if readOn && e.connection.finishLate(e.request, rest, late.Duration()) {
-		e.pool.client.background(func() { e.pool.retire(e.connection) })
+		close(ended)
+		e.pool.retire(e.connection)
+		return
+	}
+	if isEnd(cause) {
+		close(ended)
+		e.pool.abandon(e.connection)
 		return
 	}
 	_ = e.connection.net.Close()
 	client.wait(late - (client.clock.Now() - begin))
+	close(ended)
 	e.connection.permit.Release()
 	e.pool.signal()
 }
 
+// isEnd reports whether err tells that the server closed the connection.
+func isEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/entry/dotterrouter/health.go
+++ b/internal/entry/dotterrouter/health.go
@@ -14,7 +14,7 @@
 	slowFactor        = 2.5 // times the median latency
 	slowFloor         = 3.0 // milliseconds above the median latency
 	firstEjection     = 1 * dotterclock.Second
-	longestEjection   = 20 * dotterclock.Second
+	longestEjection   = 5 * dotterclock.Second
 	samplesToRecover  = 2 // good answers in a row that end a probation
 	forgetfulnessSpan = 10 * dotterclock.Second
 )
