Requests: a good probe is followed by the next one at once

Cause: a server on probation needs two good probes, and the second waited for the whole ejection span again, so that servers stayed out for seconds after their fault had gone. Change: a good probe lets the next one through.

--- a/internal/entry/dotterrouter/health.go
+++ b/internal/entry/dotterrouter/health.go
@@ -55,9 +55,15 @@
 		return
 	}
 	h.good++
-	if h.ejected && h.good >= samplesToRecover {
+	if !h.ejected {
+		return
+	}
+	if h.good >= samplesToRecover {
 		h.recover(float64(result.Latency))
+		return
 	}
+	// The next probe needs no further wait.
+	h.until = min(h.until, result.At)
 }
 
 func (h *health) fail(result dotterelusher.RouteResult) {
--- a/internal/entry/dotterrouter/router_test.go
+++ b/internal/entry/dotterrouter/router_test.go
@@ -63,9 +63,12 @@
 	require.True(t, ok)
 	assert.Equal(t, 3, i, "a probe goes to the server on probation")
 	assert.Zero(t, choices(p, after, candidates(0, 0, 0, 1), 1000)[3], "one probe at a time")
-	for range samplesToRecover {
+	for range samplesToRecover - 1 {
 		p.Ended("b3", dotterelusher.RouteResult{At: after, Latency: 10})
+		i, _ = p.Choose(after, candidates(0, 0, 0, 0), 0)
+		assert.Equal(t, 3, i, "a good probe is followed by the next one at once")
 	}
+	p.Ended("b3", dotterelusher.RouteResult{At: after, Latency: 10})
 	assert.False(t, p.Ejected("b3"))
 	assert.NotZero(t, choices(p, after, candidates(0, 0, 0, 0), 1000)[3])
 }
