Show entry hosts that can't be reached

Cause: after an edit the command line said only which of the hosts heard from have it; a host that is cut off was not mentioned at all. Change: status and the wait for an edit name the entry hosts that the platform lists and nobody hears. Seen failing: the new test before the change (no such row). Conclusion: passes.

--- a/internal/model/dottermessage/status.go
+++ b/internal/model/dottermessage/status.go
@@ -15,10 +15,12 @@
 	Shards        []ShardStatus
 }
 
-// EntryHostStatus is another entry host as this one hears it.
+// EntryHostStatus is another entry host as this one hears it; of one that can't
+// be reached only name and failure domain are known, from the host list.
 type EntryHostStatus struct {
 	Host          string
 	FailureDomain string
+	Reached       bool
 	Revision      int64
 	HeardAgo      dotterclock.Millis
 	FreeSlots     int
--- a/internal/server/dotterdaemon/status.go
+++ b/internal/server/dotterdaemon/status.go
@@ -42,19 +42,28 @@
 	return answer
 }
 
+// entryHosts returns the peers heard from lately and those that are only listed.
 func (d *Daemon) entryHosts() []dottermessage.EntryHostStatus {
 	now := d.clock.Now()
+	heard := map[string]bool{d.settings.Host: true}
 	var hosts []dottermessage.EntryHostStatus
 	for _, p := range d.cluster.mesh.Live() {
+		heard[p.Name] = true
 		hosts = append(hosts, dottermessage.EntryHostStatus{
 			Host:          p.Name,
 			FailureDomain: p.FailureDomain,
+			Reached:       true,
 			Revision:      p.Revision,
 			HeardAgo:      heardAgo(p, now),
 			FreeSlots:     p.FreeSlots,
 			Leaving:       p.Leaving,
 		})
 	}
+	for _, h := range d.cluster.directory.Hosts() {
+		if h.Role == dotterhost.RoleEntry && !heard[h.Name] {
+			hosts = append(hosts, dottermessage.EntryHostStatus{Host: h.Name, FailureDomain: h.FailureDomain})
+		}
+	}
 	return hosts
 }
 
--- a/internal/tool/dottercommand/editing.go
+++ b/internal/tool/dottercommand/editing.go
@@ -67,7 +67,7 @@
 		p.progress("revision %d: %d entry hosts behind", revision, len(behind))
 		if len(behind) == 0 || e.Wait == 0 {
 			p.endProgress()
-			return p.print(forceAnswer{revision, behind}, [][]string{{fmt.Sprintf("revision %d", revision), inForce(behind)}})
+			return p.printForce(forceAnswer{revision, behind, hostsUnreached(status)})
 		}
 		if p.clock.Now() >= deadline {
 			p.endProgress()
@@ -86,8 +86,17 @@
 
 // forceAnswer says where a revision is in force.
 type forceAnswer struct {
-	Revision int64
-	Behind   []string // entry hosts that don't have it yet
+	Revision  int64
+	Behind    []string // entry hosts that don't have it yet
+	Unreached []string // entry hosts of which that isn't known
+}
+
+func (p *Program) printForce(f forceAnswer) error {
+	rows := [][]string{{fmt.Sprintf("revision %d", f.Revision), inForce(f.Behind)}}
+	if len(f.Unreached) > 0 {
+		rows = append(rows, []string{"can't be reached:", strings.Join(f.Unreached, ", ")})
+	}
+	return p.print(f, rows)
 }
 
 func hostsBehind(status dottermessage.StatusAnswer, revision int64) []string {
@@ -96,13 +105,23 @@
 		behind = append(behind, status.Host)
 	}
 	for _, h := range status.EntryHosts {
-		if h.Revision < revision {
+		if h.Reached && h.Revision < revision {
 			behind = append(behind, h.Host)
 		}
 	}
 	return behind
 }
 
+func hostsUnreached(status dottermessage.StatusAnswer) []string {
+	unreached := []string{}
+	for _, h := range status.EntryHosts {
+		if !h.Reached {
+			unreached = append(unreached, h.Host)
+		}
+	}
+	return unreached
+}
+
 func inForce(behind []string) string {
 	if len(behind) == 0 {
 		return "in force on every entry host that can be reached"
--- a/internal/tool/dottercommand/program_test.go
+++ b/internal/tool/dottercommand/program_test.go
@@ -30,8 +30,9 @@
 	case "/v1/configuration":
 		_ = json.NewEncoder(w).Encode(d.document)
 	case "/v1/status":
-		other := dottermessage.EntryHostStatus{Host: "e2", Revision: d.document.Revision - d.behind}
-		_ = json.NewEncoder(w).Encode(dottermessage.StatusAnswer{Host: "e1", Revision: d.document.Revision, EntryHosts: []dottermessage.EntryHostStatus{other}})
+		other := dottermessage.EntryHostStatus{Host: "e2", Reached: true, Revision: d.document.Revision - d.behind}
+		lost := dottermessage.EntryHostStatus{Host: "e3"}
+		_ = json.NewEncoder(w).Encode(dottermessage.StatusAnswer{Host: "e1", Revision: d.document.Revision, EntryHosts: []dottermessage.EntryHostStatus{other, lost}})
 	case "/v1/configuration/edits":
 		d.edit(w, r)
 	}
@@ -113,6 +114,12 @@
 	assert.Contains(t, errors, "not in force on e2")
 }
 
+func TestEditNamesHostsThatCannotBeReached(t *testing.T) {
+	code, out, _ := run(t, &daemon{document: demo(t)}, "domain", "out", "a")
+	assert.Equal(t, ExitDone, code)
+	assert.Regexp(t, `can't be reached: +e3`, out)
+}
+
 func TestUnreachableDaemon(t *testing.T) {
 	var out, errors bytes.Buffer
 	p := NewProgram(context.Background(), &out, &errors, false)
--- a/internal/tool/dottercommand/show.go
+++ b/internal/tool/dottercommand/show.go
@@ -31,11 +31,7 @@
 		{s.Host, s.FailureDomain, fmt.Sprint(s.Revision), "-", "-", ready},
 	}
 	for _, h := range s.EntryHosts {
-		state := "live"
-		if h.Leaving {
-			state = "leaving"
-		}
-		rows = append(rows, []string{h.Host, h.FailureDomain, fmt.Sprint(h.Revision), fmt.Sprintf("%d ms ago", h.HeardAgo), fmt.Sprint(h.FreeSlots), state})
+		rows = append(rows, entryHostRow(h))
 	}
 	rows = append(rows, []string{""}, []string{"TASK STARTS", s.Starts}, []string{""})
 	rows = append(rows, []string{"BACKEND SERVER", "SERVICE", "STATE", "USABLE SLOTS", "FREE"})
@@ -49,6 +45,17 @@
 	return rows
 }
 
+func entryHostRow(h dottermessage.EntryHostStatus) []string {
+	if !h.Reached {
+		return []string{h.Host, h.FailureDomain, "?", "-", "-", "can't be reached"}
+	}
+	state := "live"
+	if h.Leaving {
+		state = "leaving"
+	}
+	return []string{h.Host, h.FailureDomain, fmt.Sprint(h.Revision), fmt.Sprintf("%d ms ago", h.HeardAgo), fmt.Sprint(h.FreeSlots), state}
+}
+
 type decisionsCommand struct {
 	program *Program
 	Count   int `long:"count" value-name:"N" default:"50" description:"number of decisions, newest last"`
