--- a/internal/testing/dotterfailure/tasks_test.go
+++ b/internal/testing/dotterfailure/tasks_test.go
@@ -91,6 +91,33 @@
 		time.Sleep(6 * time.Second)
 		setWorker(c, dotterfault.Worker{}, "a-w01")
 	}},
+	"owner leaves": {run: func(c *dotterharness.Cluster) {
+		h := c.Host("a", 0)
+		h.Terminate()
+		<-h.Ended()
+	}},
+	"every daemon killed and restarted": {run: func(c *dotterharness.Cluster) {
+		for _, h := range c.Hosts {
+			h.Kill()
+		}
+		for _, h := range c.Hosts {
+			c.Start(h)
+		}
+	}},
+	"owner cut off from store and peers": {run: func(c *dotterharness.Cluster) {
+		c.Fault(dotterfault.PathCuts, []dotterfault.Cut{{FailureDomains: []string{"a"}, Store: true, List: true}})
+		c.SilenceLinks(func(_, _ *dotterharness.EntryHost) bool { return true })
+		time.Sleep(2 * pastLease)
+		c.Fault(dotterfault.PathCuts, []dotterfault.Cut{})
+		c.SilenceLinks(func(_, _ *dotterharness.EntryHost) bool { return false })
+	}},
+	"owner frozen while its workers restart": {mayRepeat: true, run: func(c *dotterharness.Cluster) {
+		h := c.Host("a", 0)
+		h.Freeze()
+		c.Fault(dotterfault.PathRestart, dotterfault.Selector{Names: []string{"a-w01", "a-w02"}})
+		time.Sleep(pastLease)
+		h.Thaw()
+	}},
 	"owner frozen through a store outage": {run: func(c *dotterharness.Cluster) {
 		h := c.Host("a", 0)
 		h.Freeze()
