Cluster: freshness is proved by a small stamp, not by reading the document

Cause: each failure domain's reader read the whole document 1.2 times a second. Change: an edit raises the key stamp/configuration to its revision before it writes the document; a document that bears the stamp's revision is the newest. A stamp ahead (an edit given up) or behind (a store that answers old values) proves nothing and the document is read, as it is every 30 s in any case. Two more store calls per edit. Ruled out: evidence from the watch (it answers only when something changes).

--- a/internal/cluster/dotterrevision/doc.go
+++ b/internal/cluster/dotterrevision/doc.go
@@ -13,8 +13,8 @@
 // by the clock of whoever sent it; it travels between processes as an age, and
 // a process that is told an age counts it from when it sent the question, so
 // that no delay on the way makes a proof look younger than it is. In each
-// failure domain the entry host with the smallest name reads the store, and the
-// others ask it; whoever gets no young proof from it reads the store itself.
+// failure domain the entry host with the smallest name reads the store (a small
+// stamp, since the document may be large), and the others ask it; whoever gets no young proof from it reads the store itself.
 // Ruled out: proofs in heartbeats, since a heartbeat that was held up can't be
 // told from one that was not, and echoed counts cost a period more of age than
 // the limit leaves.
--- a/internal/cluster/dotterrevision/editor.go
+++ b/internal/cluster/dotterrevision/editor.go
@@ -84,6 +84,9 @@
 	if err != nil {
 		return document, true, eris.Wrap(ErrEditInvalid, err.Error())
 	}
+	if err := raiseStamp(ctx, e.store, next.Revision); err != nil {
+		return document, false, err
+	}
 	_, err = e.store.Put(ctx, dotterconfig.Key, value, version, "")
 	a.wrote(version, err)
 	return next, err == nil, err
--- a/internal/cluster/dotterrevision/holder.go
+++ b/internal/cluster/dotterrevision/holder.go
@@ -48,6 +48,8 @@
 	tomb    tomb.Tomb
 	lacking chan struct{} // a peer has a higher revision
 
+	documentReadAt dotterclock.Millis // last good read of the whole document; used by prove alone
+
 	mu       sync.Mutex
 	document dotterconfig.Document
 	changed  chan struct{}
--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -1,6 +1,7 @@
 package dotterrevision
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -139,3 +140,42 @@
 		return !p.Allowed && p.Overridable
 	}, patience, look, "cut off from a domain that may know of a change")
 }
+
+func TestStampProvesOnlyItsOwnRevision(t *testing.T) {
+	tests := map[string]struct {
+		stamp  int64
+		proves bool
+	}{
+		"Same":   {stamp: 2, proves: true},
+		"Ahead":  {stamp: 3},
+		"Behind": {stamp: 1},
+		"None":   {stamp: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Holder{document: dotterconfig.Document{Revision: 2}}
+			require.Equal(t, test.proves, h.matches(stamp{Revision: test.stamp}))
+		})
+	}
+}
+
+func TestStampIsRaisedBeforeTheDocument(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	refused := errors.New("refused")
+	editor := NewEditor(store, dotterclock.NewSystem(), func(dotterconfig.Document) error { return refused })
+	_, err := editor.Edit(t.Context(), setDomain("invalid", "a", false))
+	require.ErrorIs(t, err, ErrEditInvalid)
+	s, _, err := readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.Zero(t, s.Revision, "an edit that is refused raises nothing")
+
+	edit(t, store, setDomain("one", "a", false))
+	require.NoError(t, raiseStamp(t.Context(), store, 7))
+	require.NoError(t, raiseStamp(t.Context(), store, 3))
+	s, _, err = readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, s.Revision, "a stamp is never lowered")
+
+	n := startNode(t, "h1", "a", store)
+	require.Eventually(t, n.allowed("a"), patience, look, "behind the stamp of an edit given up, the document is read")
+}
--- a/internal/cluster/dotterrevision/prove.go
+++ b/internal/cluster/dotterrevision/prove.go
@@ -15,6 +15,8 @@
 const (
 	// provePeriod is the span between two proofs.
 	provePeriod = 800 * dotterclock.Millis(1)
+	// documentPeriod is the span after which the document itself is read again.
+	documentPeriod = 30 * dotterclock.Second
 	// readerAge is the age up to which the proof of the domain's reader is good enough.
 	readerAge = 1200 * dotterclock.Millis(1)
 	// askTimeout bounds one question to a peer.
@@ -65,36 +67,60 @@
 	return a != noAge && a <= limit
 }
 
-// read reads the document from the store and reports whether that worked.
+// read proves the document current from the store and reports whether the
+// store answered: by the stamp, or by the document itself when the stamp does
+// not tell, and now and then in any case.
 func (h *Holder) read(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	sentAt := h.clock.Now()
+	if sentAt-h.documentReadAt < documentPeriod {
+		s, _, err := readStamp(ctx, h.store)
+		if err != nil {
+			return h.noteFailed(sentAt)
+		}
+		if h.matches(s) {
+			return h.noteReached(sentAt, true)
+		}
+		sentAt = h.clock.Now()
+	}
+	return h.readDocument(ctx, sentAt)
+}
+
+// matches reports whether s shows that the document in force is the newest. A
+// stamp that is behind comes from a store that answers old values.
+func (h *Holder) matches(s stamp) bool {
+	return s.Revision > 0 && s.Revision == h.revision()
+}
+
+func (h *Holder) readDocument(ctx context.Context, sentAt dotterclock.Millis) bool {
 	e, err := h.store.Get(ctx, dotterconfig.Key)
 	if err != nil && !errors.Is(err, dotterelusher.ErrStoreNotFound) {
-		h.metrics.reads.WithLabelValues("Store", "Failed").Inc()
-		h.noteFailed(sentAt)
-		return false
+		return h.noteFailed(sentAt)
 	}
-	h.metrics.reads.WithLabelValues("Store", "Done").Inc()
-	current := err == nil && h.takeEntry(e, sourceRead)
-	h.noteReached(sentAt, current)
-	return true
+	h.documentReadAt = sentAt
+	return h.noteReached(sentAt, err == nil && h.takeEntry(e, sourceRead))
 }
 
-func (h *Holder) noteFailed(sentAt dotterclock.Millis) {
+// noteFailed takes in that the store did not answer a read, and returns false.
+func (h *Holder) noteFailed(sentAt dotterclock.Millis) bool {
+	h.metrics.reads.WithLabelValues("Store", "Failed").Inc()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.fresh.failed(sentAt)
+	return false
 }
 
-func (h *Holder) noteReached(sentAt dotterclock.Millis, current bool) {
+// noteReached takes in that the store answered a read, and returns true.
+func (h *Holder) noteReached(sentAt dotterclock.Millis, current bool) bool {
+	h.metrics.reads.WithLabelValues("Store", "Done").Inc()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.fresh.reached()
 	if current {
 		h.fresh.proved(sentAt)
 	}
+	return true
 }
 
 // askEveryDomain asks one live host of each failure domain.
