Cluster: mesh and link in files of one matter each; more time for a suspected link

A suspected link had 1 s to prove itself, little on a loaded host, and every call on it ends indeterminate when it is closed; 2 s now. Run: go test -race ./internal/cluster/dotterpeer passes.

--- /dev/null
+++ b/internal/cluster/dotterpeer/link_call.go
@@ -0,0 +1,79 @@
+package dotterpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher"
+)
+
+// serve handles a call in a goroutine of its own, or refuses it when too many run.
+func (l *link) serve(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		l.logFailure(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: codeBusy, Message: "too many calls"}))
+		return
+	}
+	go func() {
+		defer func() { <-l.slots }()
+		l.answer(ctx, c, r)
+	}()
+}
+
+func (l *link) answer(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	select {
+	case <-l.ready:
+	case <-ctx.Done():
+		return
+	}
+	handler, ok := l.mesh.handlers[r.Method]
+	if !ok {
+		l.logFailure(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}))
+		return
+	}
+	var params json.RawMessage
+	if r.Params != nil {
+		params = *r.Params
+	}
+	result, err := handler(ctx, l.identity().Name, params)
+	if err != nil {
+		l.logFailure(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}))
+		return
+	}
+	l.mesh.metrics.messagesSent.Inc()
+	l.logFailure(c.Reply(ctx, r.ID, result))
+}
+
+// call calls method on the other side.
+func (l *link) call(ctx context.Context, method string, args, reply any) error {
+	l.mesh.metrics.messagesSent.Inc()
+	err := l.conn.Call(ctx, method, args, reply)
+	var remote *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrMessageTooLarge):
+		return err
+	case errors.As(err, &remote) && remote.Code == codeBusy:
+		return eris.Wrap(dotterelusher.ErrPeerUnreachable, remote.Message)
+	case errors.As(err, &remote):
+		return &RemoteError{Host: l.identity().Name, Method: method, Message: remote.Message}
+	default:
+		l.suspect()
+		return eris.Wrap(dotterelusher.ErrPeerIndeterminate, err.Error())
+	}
+}
+
+// logFailure notes an answer that could not be sent; the link ends by itself.
+func (l *link) logFailure(err error) {
+	if err == nil || errors.Is(err, jsonrpc2.ErrClosed) {
+		return
+	}
+	l.mesh.logger.Debug("peer answer not sent", zap.String("Peer", l.identity().Name), zap.Error(err))
+}
--- a/internal/cluster/dotterpeer/mesh.go
+++ b/internal/cluster/dotterpeer/mesh.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"context"
 	"errors"
-	"log"
 	"net"
 	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
@@ -25,7 +23,7 @@
 	// silentBeats is the number of periods after which a link without heartbeats is closed.
 	silentBeats = 3
 	// proofTimeout is how long a link that is suspected to be silent has to prove itself.
-	proofTimeout = dotterclock.Second
+	proofTimeout = 2 * dotterclock.Second
 	// beatBytes is what a small heartbeat costs on the wire, headers and the
 	// transport's acknowledgement included.
 	beatBytes = 170
@@ -124,23 +122,6 @@
 	return m.tomb.Wait()
 }
 
-// SetAddresses makes addresses, and the seeds, those that are dialled.
-func (m *Mesh) SetAddresses(addresses []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	next := map[string]*target{}
-	for _, a := range slices.Concat(m.seeds, addresses) {
-		if a == m.self.Address || len(next) >= linkLimit {
-			continue
-		}
-		next[a] = m.targets[a]
-		if next[a] == nil {
-			next[a] = &target{}
-		}
-	}
-	m.targets = next
-}
-
 // Announce changes what this host tells the others.
 func (m *Mesh) Announce(change func(State) State) {
 	m.mu.Lock()
@@ -217,180 +198,6 @@
 	}
 }
 
-// accept takes links that other entry hosts dial.
-func (m *Mesh) accept() error {
-	for {
-		c, err := m.listener.Accept()
-		if err != nil && !m.tomb.Alive() {
-			return nil
-		}
-		if err != nil {
-			m.logger.Warn("accepting a peer link", zap.Error(err))
-			m.pause(dialPeriod)
-			continue
-		}
-		m.start(c, "")
-	}
-}
-
-// start runs JSON-RPC on c.
-func (m *Mesh) start(c net.Conn, dialed string) *link {
-	l := newLink(m, dialed)
-	stream := jsonrpc2.NewBufferedStream(conn{Conn: c, metrics: m.metrics}, codec{})
-	logger := log.New(logWriter{m.logger}, "", 0)
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, l, jsonrpc2.SetLogger(logger))
-	close(l.opened)
-	if m.countOpen() > linkLimit {
-		l.conn.Close()
-	}
-	m.tomb.Go(func() error {
-		l.run(m.tomb.Dying())
-		m.forget(l)
-		return nil
-	})
-	return l
-}
-
-// forget drops a link that has ended.
-func (m *Mesh) forget(l *link) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.open--
-	name := l.identity().Name
-	if m.links[name] != l {
-		return
-	}
-	delete(m.links, name)
-	m.metrics.links.Set(float64(len(m.links)))
-	m.logger.Info("peer link ended", zap.String("Peer", name))
-}
-
-// countOpen adds one to the connections that are open and returns their number.
-func (m *Mesh) countOpen() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.open++
-	return m.open
-}
-
-// admit makes l the link to its peer and reports whether it is to be kept.
-func (m *Mesh) admit(l *link) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	name := l.identity().Name
-	former := m.links[name]
-	if name == m.self.Name || (former != nil && !m.replaces(l, former)) {
-		return false
-	}
-	m.links[name] = l
-	close(l.kept)
-	m.metrics.links.Set(float64(len(m.links)))
-	if former != nil {
-		former.conn.Close()
-	}
-	m.logger.Info("peer link", zap.String("Peer", name), zap.String("Dialed", l.dialed))
-	return true
-}
-
-// replaces reports whether l is kept instead of former. A host dials only when
-// it has no link, so a new link replaces an old one; of two that were dialled
-// at the same time by both ends, both keep the one dialled by the smaller name.
-func (m *Mesh) replaces(l, former *link) bool {
-	remote := l.identity()
-	if remote.Incarnation != former.identity().Incarnation {
-		return remote.Incarnation > former.identity().Incarnation
-	}
-	dialed := l.dialed != ""
-	if dialed == (former.dialed != "") || m.clock.Now()-former.since > handshakeTimeout {
-		return true
-	}
-	return dialed == (m.self.Name < remote.Name)
-}
-
-// dialAll dials every address to which there is no link.
-func (m *Mesh) dialAll() error {
-	for {
-		for _, a := range m.dueAddresses() {
-			m.tomb.Go(func() error {
-				m.dial(a)
-				return nil
-			})
-		}
-		if !m.pause(dialPeriod) {
-			return nil
-		}
-	}
-}
-
-func (m *Mesh) dueAddresses() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	linked := map[string]bool{}
-	for _, l := range m.links {
-		linked[l.identity().Address] = true
-		linked[l.dialed] = true
-	}
-	now := m.clock.Now()
-	var due []string
-	for a, t := range m.targets {
-		if linked[a] || !t.due(now) {
-			continue
-		}
-		t.dialing = true
-		due = append(due, a)
-	}
-	return due
-}
-
-// dial makes one attempt at a link to address.
-func (m *Mesh) dial(address string) {
-	err := m.connect(address)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	t := m.targets[address]
-	if t == nil {
-		return
-	}
-	t.dialing = false
-	if err != nil {
-		t.failed(m.clock.Now())
-		m.logger.Debug("dialling a peer", zap.String("Address", address), zap.Error(err))
-		return
-	}
-	t.linked(m.clock.Now())
-}
-
-func (m *Mesh) connect(address string) error {
-	ctx, cancel := context.WithTimeout(m.tomb.Context(context.Background()), handshakeTimeout.Duration())
-	defer cancel()
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	l := m.start(c, address)
-	var remote Identity
-	if err := l.conn.Call(ctx, methodHello, m.self, &remote); err != nil {
-		l.conn.Close()
-		return err
-	}
-	l.identify(remote)
-	if !m.admit(l) {
-		l.conn.Close()
-		return nil
-	}
-	m.tell(l)
-	return nil
-}
-
-// tell passes on a state that came before the link was identified.
-func (m *Mesh) tell(l *link) {
-	l.mu.Lock()
-	told := PeerState{Identity: l.remote, State: l.state}
-	l.mu.Unlock()
-	m.observe(told)
-}
-
 // pause waits for span and reports whether the mesh goes on.
 func (m *Mesh) pause(span dotterclock.Millis) bool {
 	select {
