Cluster: a process that starts without the store learns from a peer whom to dial

Cause: in an outage a new process knows its seeds only, and nobody else knows it. Change: Membership.Addresses, asked of a peer when the records can't be read. The spread benchmark reports bytes per node, the busiest too. Seen failing: TestSharesHoldInAnOutage finds one peer, not two, without it (the first form of the test, which asked for any, passed then).

--- a/internal/cluster/dottermember/keeper.go
+++ b/internal/cluster/dottermember/keeper.go
@@ -51,15 +51,16 @@
 	tomb      tomb.Tomb
 	behind    chan struct{} // a peer has adopted a later epoch
 
-	mu      sync.Mutex
-	self    Member
-	record  Record
-	leaving bool
-	seenAt  map[Member]dotterclock.Millis // since when each member is in the record read here
+	mu        sync.Mutex
+	self      Member
+	record    Record
+	leaving   bool
+	seenAt    map[Member]dotterclock.Millis // since when each member is in the record read here
+	addresses []string                      // at which peers are dialled, seeds apart
 }
 
 // NewKeeper returns a keeper for the process and failure domain of mesh, and
-// registers its method with the mesh; it must be called before the mesh starts.
+// registers its methods with the mesh; it must be called before the mesh starts.
 func NewKeeper(
 	settings Settings,
 	store dotterelusher.Store,
@@ -86,6 +87,7 @@
 		seenAt:    map[Member]dotterclock.Millis{},
 	}
 	mesh.Handle(methodRecord, k.answerRecord)
+	mesh.Handle(methodAddresses, k.answerAddresses)
 	mesh.Watch(k.observe)
 	return k
 }
--- a/internal/cluster/dottermember/keeper_test.go
+++ b/internal/cluster/dottermember/keeper_test.go
@@ -86,7 +86,7 @@
 
 	store.SetDown(true)
 	late := startNode(t, "h3", "127.0.0.1:0", store, list, h1.mesh.Identity().Address)
-	require.Eventually(t, func() bool { return len(late.mesh.Live()) > 0 }, patience, look)
+	require.Eventually(t, func() bool { return len(late.mesh.Live()) == 2 }, patience, look, "the seed tells of the others")
 	held := dotterclock.NewSystem()
 	for start := held.Now(); held.Now()-start < 2000; <-held.After(20) { // longer than a lease
 		require.True(t, halves(), "shares hold without the store")
--- a/internal/cluster/dottermember/read.go
+++ b/internal/cluster/dottermember/read.go
@@ -3,29 +3,71 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 )
 
+// methodAddresses is the method with which peers learn whom to dial.
+const methodAddresses = "Membership.Addresses"
+
 // readAll reads the records of all failure domains, adopts this one's, and
-// tells the mesh whom to dial.
+// tells the mesh whom to dial. If the store does not answer, a peer is asked
+// whom to dial, which matters to a process that started without the store.
 func (k *Keeper) readAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
 	entries, _, err := k.store.List(ctx, keyPrefix)
 	if err != nil {
 		k.logger.Debug("reading the records", zap.Error(err))
+		k.askAddresses()
 		return
 	}
 	var addresses []string
 	for _, e := range entries {
 		addresses = append(addresses, k.readEntry(e)...)
 	}
+	k.dial(addresses)
+}
+
+// dial makes addresses those that the mesh dials.
+func (k *Keeper) dial(addresses []string) {
+	k.mu.Lock()
+	k.addresses = addresses
+	k.mu.Unlock()
 	k.mesh.SetAddresses(addresses)
 }
 
+// askAddresses asks a peer, by chance, whom to dial, and keeps what is known.
+func (k *Keeper) askAddresses() {
+	live := k.mesh.Live()
+	if len(live) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), storeTimeout.Duration())
+	defer cancel()
+	var told []string
+	if err := k.mesh.Call(ctx, live[rand.N(len(live))].Name, methodAddresses, nil, &told); err != nil {
+		return
+	}
+	known := append(k.knownAddresses(), told...)
+	slices.Sort(known)
+	k.dial(slices.Compact(known))
+}
+
+func (k *Keeper) knownAddresses() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.addresses)
+}
+
+func (k *Keeper) answerAddresses(context.Context, string, json.RawMessage) (any, error) {
+	return k.knownAddresses(), nil
+}
+
 // readEntry returns the addresses in a record, and adopts it if it is this
 // failure domain's.
 func (k *Keeper) readEntry(e dotterkey.Entry) []string {
--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -18,8 +18,9 @@
 const look = 5 * time.Millisecond
 
 type node struct {
-	mesh   *dotterpeer.Mesh
-	holder *Holder
+	mesh     *dotterpeer.Mesh
+	holder   *Holder
+	registry *prometheus.Registry
 }
 
 func startNode(t testing.TB, name, domain string, store *dottermemory.Store, seeds ...string) *node {
@@ -29,7 +30,8 @@
 	identity := dotterpeer.Identity{Name: name, FailureDomain: domain, Incarnation: 1, Address: "127.0.0.1:0"}
 	mesh, err := dotterpeer.New(dotterpeer.Settings{Identity: identity, Seeds: seeds}, clock, zap.NewNop(), dotterpeer.NewMetrics(registry))
 	require.NoError(t, err)
-	n := &node{mesh: mesh, holder: NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))}
+	n := &node{mesh: mesh, registry: registry}
+	n.holder = NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))
 	n.holder.Start()
 	mesh.Start()
 	t.Cleanup(func() {
--- a/internal/cluster/dotterrevision/spread_bench_test.go
+++ b/internal/cluster/dotterrevision/spread_bench_test.go
@@ -18,11 +18,15 @@
 // force on every node, with working and with silent watches, and how many reads
 // of the store and questions to peers the proofs of freshness cost.
 func BenchmarkConfigurationSpread(b *testing.B) {
-	for _, nodes := range []int{8, 24, 72} {
+	for _, nodes := range []int{8, 24, 72, 96} {
+		domains := 3
+		if nodes > 24 {
+			domains = 6
+		}
 		for _, silent := range []bool{false, true} {
 			b.Run(fmt.Sprintf("Nodes=%d/SilentWatch=%v", nodes, silent), func(b *testing.B) {
 				store := dottermemory.New(dotterclock.NewSystem())
-				all := startSpread(b, store, nodes)
+				all := startSpread(b, store, nodes, domains)
 				store.SetSilent(silent)
 				change := 0
 				for b.Loop() {
@@ -36,11 +40,11 @@
 	}
 }
 
-func startSpread(b *testing.B, store *dottermemory.Store, nodes int) []*node {
+func startSpread(b *testing.B, store *dottermemory.Store, nodes, domains int) []*node {
 	var all []*node
 	var addresses []string
 	for i := range nodes {
-		n := startNode(b, fmt.Sprintf("host-%02d", i), fmt.Sprintf("domain-%d", i%3), store)
+		n := startNode(b, fmt.Sprintf("host-%02d", i), fmt.Sprintf("domain-%d", i%domains), store)
 		all = append(all, n)
 		addresses = append(addresses, n.address())
 	}
@@ -71,7 +75,33 @@
 		return sum
 	}
 	reads, questions := count("Store"), count("Peer")
+	before := make([]float64, len(all))
+	for i, n := range all {
+		before[i] = n.bytes(b)
+	}
 	time.Sleep(readsSpan.Duration())
-	b.ReportMetric((count("Store")-reads)/readsSpan.Seconds(), "reads/s")
-	b.ReportMetric((count("Peer")-questions)/readsSpan.Seconds(), "questions/s")
+	most, sum := 0.0, 0.0
+	for i, n := range all {
+		bytes := n.bytes(b) - before[i]
+		most = max(most, bytes)
+		sum += bytes
+	}
+	seconds := readsSpan.Seconds()
+	b.ReportMetric((count("Store")-reads)/seconds, "reads/s")
+	b.ReportMetric((count("Peer")-questions)/seconds, "questions/s")
+	b.ReportMetric(sum/seconds/float64(len(all)), "bytes/s/node")
+	b.ReportMetric(most/seconds, "bytes/s/busiest")
+}
+
+// bytes returns what the node has sent to and received from peers.
+func (n *node) bytes(b *testing.B) float64 {
+	families, err := n.registry.Gather()
+	require.NoError(b, err)
+	sum := 0.0
+	for _, f := range families {
+		if name := f.GetName(); name == "dotterelusher_peer_sent_bytes_total" || name == "dotterelusher_peer_received_bytes_total" {
+			sum += f.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	return sum
 }
