Tasks: tests of the hand-over, and a test clock that waits for its owners

Cause: under load the tests' clock ran ahead of the owners' loops; a mutant run showed TestTakeoverKeepsUnreachableWorkersBound failing for that reason alone. Change: after each step the clock waits until every owner's loop has caught up and no answer of a fake is on its way.

--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -47,9 +47,10 @@
 // fakePool is the platform's side of a test: store, host list and workers, with
 // the truth of what ran.
 type fakePool struct {
-	t     testing.TB
-	clock *dotterclock.Manual
-	store *dottermemory.Store
+	t      testing.TB
+	owners []*Owner // opened by open, which the clock waits for
+	clock  *dotterclock.Manual
+	store  *dottermemory.Store
 
 	mu            sync.Mutex
 	workers       map[string]*fakeWorker // by address
@@ -388,9 +389,45 @@
 func (p *fakePool) open(options Options) *Owner {
 	o, err := Open(context.Background(), options)
 	require.NoError(p.t, err)
+	p.owners = append(p.owners, o)
 	return o
 }
 
+const (
+	// settleAsks is how often a loop is asked after each step of the clock, so
+	// that it takes in what has become due however busy the machine is.
+	settleAsks = 3
+	// settleLimit bounds the wait for answers that the fakes owe an owner.
+	settleLimit = 5 * time.Millisecond
+)
+
+// settle lets the owners catch up with the clock.
+func (p *fakePool) settle() {
+	time.Sleep(20 * time.Microsecond)
+	for _, o := range p.owners {
+		started := time.Now()
+		for asks := 0; asks < settleAsks || time.Since(started) < settleLimit; asks++ {
+			idle := false
+			if o.ask(context.Background(), func() { idle = !o.inFlight() }) != nil {
+				break
+			}
+			if idle && asks >= settleAsks {
+				break
+			}
+		}
+	}
+}
+
+// inFlight reports whether an answer of a worker or the store is on its way.
+func (o *Owner) inFlight() bool {
+	for _, w := range o.workers {
+		if w.calling {
+			return true
+		}
+	}
+	return o.writing != nil && !o.writing.uncertain
+}
+
 // pump lets virtual time pass until done holds; it gives up after limit of it.
 func (p *fakePool) pump(limit dotterclock.Millis, done func() bool) {
 	p.t.Helper()
@@ -407,7 +444,7 @@
 func (p *fakePool) pass(span dotterclock.Millis) {
 	for ; span > 0; span -= 20 {
 		p.clock.Advance(20)
-		time.Sleep(100 * time.Microsecond)
+		p.settle()
 	}
 }
 
--- a/internal/task/dotterowner/kill_test.go
+++ b/internal/task/dotterowner/kill_test.go
@@ -65,6 +65,7 @@
 	}
 	var ids []dottertask.ID
 	if a != nil {
+		p.owners = append(p.owners, a)
 		ids = p.submitThrough(a, first)
 		p.pump(20*dotterclock.Second, func() bool { return first.hasStruck() || p.allEnded(a, ids) })
 		p.abandon(a, first)
@@ -120,6 +121,7 @@
 func (p *fakePool) openSurely(options Options) *Owner {
 	for range 10 {
 		if o, err := Open(context.Background(), options); err == nil {
+			p.owners = append(p.owners, o)
 			return o
 		}
 	}
--- a/internal/task/dotterowner/process_test.go
+++ b/internal/task/dotterowner/process_test.go
@@ -147,6 +147,7 @@
 
 // abandon ends a process that a test has killed or frozen.
 func (p *fakePool) abandon(o *Owner, process *process) {
+	p.owners = nil // the clock doesn't wait for it any more
 	if process.fault.freeze {
 		return
 	}
