--- a/internal/task/dotterowner/handoff_test.go
+++ b/internal/task/dotterowner/handoff_test.go
@@ -16,25 +16,29 @@
 	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
 )
 
-var shardE = dottershard.Name{FailureDomain: "e", Number: 0}
+var (
+	shardE = dottershard.Name{FailureDomain: "e", Number: 0}
+	shardF = dottershard.Name{FailureDomain: "f", Number: 0}
+)
 
-// lossyHandoff passes tasks to another owner in the same test and loses the
-// first answers, or gives the first calls again later.
+// lossyHandoff passes tasks to other owners in the same test and loses the
+// first answers.
 type lossyHandoff struct {
 	noHandoff
-	to *Owner
+	to      map[string]*Owner
+	targets []string
 
 	mu    sync.Mutex
 	lose  int
 	calls [][]dotterrecord.Entry
 }
 
-// Targets returns the other shard.
-func (h *lossyHandoff) Targets(dottershard.Name) []string { return []string{shardE.String()} }
+// Targets returns the other shards.
+func (h *lossyHandoff) Targets(dottershard.Name) []string { return h.targets }
 
 // Adopt passes the entries on.
-func (h *lossyHandoff) Adopt(ctx context.Context, _ string, entries []dotterrecord.Entry) error {
-	err := h.to.Adopt(ctx, entries)
+func (h *lossyHandoff) Adopt(ctx context.Context, target string, entries []dotterrecord.Entry) error {
+	err := h.to[target].Adopt(ctx, entries)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.calls = append(h.calls, entries)
@@ -45,69 +49,105 @@
 	return err
 }
 
-func (p *fakePool) optionsE(writer string) Options {
-	options := p.options(writer)
-	options.Shard = shardE
+func (p *fakePool) optionsOf(shard dottershard.Name, h Handoff) Options {
+	options := p.options(shard.String() + "/1")
+	options.Shard = shard
+	options.Handoff = h
 	options.Placer = dotternaive.New(dotternaive.RuleFirstFit)
-	options.Mine = func(w dotterhost.Host) bool { return w.FailureDomain == "e" }
+	options.Mine = func(w dotterhost.Host) bool { return w.FailureDomain == shard.FailureDomain }
 	return options
 }
 
+func (p *fakePool) setOut(domain string, out bool) {
+	p.editDocument(func(c *dotterconfig.Document) {
+		domains := append([]dotterconfig.FailureDomain(nil), c.FailureDomains...)
+		for i := range domains {
+			if domains[i].Name == domain {
+				domains[i].Out = out
+			}
+		}
+		c.FailureDomains = domains
+	})
+}
+
 func TestMovedTasksRunOnceThoughCallsAreLostAndRepeated(t *testing.T) {
 	t.Parallel()
 	p := newPool(t, 1)
 	p.addWorker("e", 0)
-	e := p.open(p.optionsE("e/1"))
+	p.addWorker("f", 0)
+	e := p.open(p.optionsOf(shardE, noHandoff{}))
 	defer e.Stop()
-	h := &lossyHandoff{to: e, lose: 2}
-	options := p.options("d/1")
-	options.Handoff = h
-	d := p.open(options)
+	f := p.open(p.optionsOf(shardF, noHandoff{}))
+	defer f.Stop()
+	h := &lossyHandoff{to: map[string]*Owner{"e-0": e, "f-0": f}, targets: []string{"e-0", "f-0"}, lose: 3}
+	d := p.open(p.optionsOf(shardD, h))
 	defer d.Stop()
 	p.set(func() { p.allowed.Allowed = false })
 	ids := p.submit(d, many(6, task(false, 500))...)
-	p.editDocument(func(c *dotterconfig.Document) { c.FailureDomains[0].Out = true })
+	p.setOut("d", true)
 	p.set(func() { p.allowed.Allowed = true })
-	p.pump(60*dotterclock.Second, func() bool { return p.allEnded(e, ids) })
-	p.pump(60*dotterclock.Second, func() bool { return p.state(d, ids[0]) == dottertask.StateMoved })
+	p.pump(60*dotterclock.Second, func() bool { return p.countState(d, ids, dottertask.StateMoved) == len(ids) })
+	p.pump(60*dotterclock.Second, func() bool {
+		return p.countState(e, ids, dottertask.StateDone)+p.countState(f, ids, dottertask.StateDone) == len(ids)
+	})
 	for _, entries := range h.calls {
-		require.NoError(t, p.adoptLate(e, entries))
+		for _, o := range []*Owner{e, f} {
+			if p.knows(o, entries[0].Task.ID) {
+				require.NoError(t, p.adoptLate(o, entries))
+			}
+		}
 	}
 	p.pass(5 * dotterclock.Second)
 	for _, id := range ids {
 		require.Equal(t, 1, p.startsOf(id))
-		require.Equal(t, dottertask.StateDone, p.state(e, id))
-		require.Equal(t, dottertask.StateMoved, p.state(d, id))
 	}
 	p.checkTruth()
 }
 
+func (p *fakePool) knows(o *Owner, id dottertask.ID) bool {
+	_, _, err := o.Get(context.Background(), id)
+	return err == nil
+}
+
+func (p *fakePool) countState(o *Owner, ids []dottertask.ID, state dottertask.State) int {
+	count := 0
+	for _, id := range ids {
+		if got, _, err := o.Get(context.Background(), id); err == nil && got.State == state {
+			count++
+		}
+	}
+	return count
+}
+
 func TestATaskThatComesBackIsTakenAgain(t *testing.T) {
 	t.Parallel()
 	p := newPool(t, 1)
 	p.addWorker("e", 0)
-	e := p.open(p.optionsE("e/1"))
+	back := &lossyHandoff{to: map[string]*Owner{}, targets: []string{"d-0"}}
+	e := p.open(p.optionsOf(shardE, back))
 	defer e.Stop()
-	h := &lossyHandoff{to: e}
-	options := p.options("d/1")
-	options.Handoff = h
-	d := p.open(options)
+	h := &lossyHandoff{to: map[string]*Owner{"e-0": e}, targets: []string{"e-0"}}
+	d := p.open(p.optionsOf(shardD, h))
 	defer d.Stop()
+	back.to["d-0"] = d
 	p.set(func() { p.allowed.Allowed = false })
 	id := p.submit(d, task(false, 500))[0]
-	p.editDocument(func(c *dotterconfig.Document) { c.FailureDomains[0].Out = true })
+	p.setOut("d", true)
 	p.untilState(d, id, dottertask.StateMoved, 60*dotterclock.Second)
-	p.editDocument(func(c *dotterconfig.Document) { c.FailureDomains[0].Out = false })
+	p.setOut("d", false)
+	p.pass(3 * dotterclock.Second)
+	p.setOut("e", true)
+	p.untilState(e, id, dottertask.StateMoved, 60*dotterclock.Second)
+	require.Equal(t, dottertask.StateQueued, p.state(d, id), "the task is back")
+	p.setOut("e", false)
 	p.pass(3 * dotterclock.Second)
-	entry := dotterrecord.Entry{}
-	require.NoError(t, e.ask(context.Background(), func() { entry, _ = e.ledger.Entry(id) }))
-	require.NoError(t, p.adoptLate(d, []dotterrecord.Entry{entry}))
-	require.Equal(t, dottertask.StateQueued, p.state(d, id))
-	// The first call to the other shard arrives once more: it still has the task
-	// from then, and takes nothing.
+	// The first call to the other shard arrives once more, after it gave the task back.
 	require.NoError(t, p.adoptLate(e, h.calls[0]))
-	require.NoError(t, e.ask(context.Background(), func() { entry, _ = e.ledger.Entry(id) }))
-	require.Equal(t, 1, entry.Hops)
+	require.Equal(t, dottertask.StateMoved, p.state(e, id))
+	p.set(func() { p.allowed.Allowed = true })
+	p.untilState(d, id, dottertask.StateDone, 60*dotterclock.Second)
+	p.pass(5 * dotterclock.Second)
+	require.Equal(t, 1, p.startsOf(id))
 }
 
 // adoptLate makes a call that arrives late.
