--- a/internal/testing/dottercapacity/leave_test.go
+++ b/internal/testing/dottercapacity/leave_test.go
@@ -46,12 +46,17 @@
 // reportPhase drives one phase and reports requests and tasks done a second.
 func reportPhase(b *testing.B, c *dotterharness.Cluster, phase string) {
 	doneBefore := tasksDone(c)
+	from := take(b, c)
 	end := time.Now().Add(phaseSpan)
 	var served atomic.Int64
 	var drivers sync.WaitGroup
 	drivers.Go(func() { submitSteadily(c, end) })
 	drivers.Go(func() { requestSteadily(c, phase, end, &served) })
 	drivers.Wait()
+	to := take(b, c)
+	seconds := to.at.Sub(from.at).Seconds()
+	b.ReportMetric((to.reads-from.reads)/seconds, "reads/s-"+phase)
+	b.ReportMetric((to.writes-from.writes)/seconds, "writes/s-"+phase)
 	b.ReportMetric(float64(served.Load())/phaseSpan.Seconds(), "requests/s-"+phase)
 	b.ReportMetric(float64(tasksDone(c)-doneBefore)/phaseSpan.Seconds(), "tasks/s-"+phase)
 }
