--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -1,6 +1,7 @@
 package dotterrevision
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -17,8 +18,9 @@
 const look = 5 * time.Millisecond
 
 type node struct {
-	mesh   *dotterpeer.Mesh
-	holder *Holder
+	mesh     *dotterpeer.Mesh
+	holder   *Holder
+	registry *prometheus.Registry
 }
 
 func startNode(t testing.TB, name, domain string, store *dottermemory.Store, seeds ...string) *node {
@@ -28,7 +30,8 @@
 	identity := dotterpeer.Identity{Name: name, FailureDomain: domain, Incarnation: 1, Address: "127.0.0.1:0"}
 	mesh, err := dotterpeer.New(dotterpeer.Settings{Identity: identity, Seeds: seeds}, clock, zap.NewNop(), dotterpeer.NewMetrics(registry))
 	require.NoError(t, err)
-	n := &node{mesh: mesh, holder: NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))}
+	n := &node{mesh: mesh, registry: registry}
+	n.holder = NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))
 	n.holder.Start()
 	mesh.Start()
 	t.Cleanup(func() {
@@ -139,3 +142,42 @@
 		return !p.Allowed && p.Overridable
 	}, patience, look, "cut off from a domain that may know of a change")
 }
+
+func TestStampProvesOnlyItsOwnRevision(t *testing.T) {
+	tests := map[string]struct {
+		stamp  int64
+		proves bool
+	}{
+		"Same":   {stamp: 2, proves: true},
+		"Ahead":  {stamp: 3},
+		"Behind": {stamp: 1},
+		"None":   {stamp: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Holder{document: dotterconfig.Document{Revision: 2}}
+			require.Equal(t, test.proves, h.matches(stamp{Revision: test.stamp}))
+		})
+	}
+}
+
+func TestStampIsRaisedBeforeTheDocument(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	refused := errors.New("refused")
+	editor := NewEditor(store, dotterclock.NewSystem(), func(dotterconfig.Document) error { return refused })
+	_, err := editor.Edit(t.Context(), setDomain("invalid", "a", false))
+	require.ErrorIs(t, err, ErrEditInvalid)
+	s, _, err := readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.Zero(t, s.Revision, "an edit that is refused raises nothing")
+
+	edit(t, store, setDomain("one", "a", false))
+	require.NoError(t, raiseStamp(t.Context(), store, 7))
+	require.NoError(t, raiseStamp(t.Context(), store, 3))
+	s, _, err = readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, s.Revision, "a stamp is never lowered")
+
+	n := startNode(t, "h1", "a", store)
+	require.Eventually(t, n.allowed("a"), patience, look, "behind the stamp of an edit given up, the document is read")
+}
