Requests: update services at changes only; split dotterservice by job

Cause: every service was updated 5 times a second whether or not anything had changed, which at 3,200 services would cost a node more than control may. Change: a timer only nudges services (a lock and a look at the queue); a count of slots that proved wrong is read again then. service.go split by job.

--- a/internal/entry/dotterservice/service.go
+++ b/internal/entry/dotterservice/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 
 	"github.com/dotterelusher/dotterelusher"
@@ -12,11 +11,8 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 )
 
-const (
-	latencyWeight  = 0.05 // of a new sample in the service's mean latency
-	shortestReturn = 50 * dotterclock.Millis(1)
-	noSlotsReturn  = dotterclock.Second
-)
+// latencyWeight is the weight of a new sample in a service's mean latency.
+const latencyWeight = 0.05
 
 // Service hands out slots of the backend servers of one template.
 type Service struct {
@@ -29,6 +25,8 @@
 	servers    []*server
 	queue      *dotterqueue.Queue[*waiter]
 	out        bool    // the failure domain is out of service
+	percent    float64 // most of a server's slots that the template may use
+	stale      bool    // Permits refused a slot that was counted as free
 	latency    float64 // decayed mean, milliseconds
 	deviation  float64 // decayed mean distance from it, milliseconds
 	candidates []dotterelusher.RouteCandidate
@@ -133,6 +131,8 @@
 		known[v.host.Name] = v
 	}
 	s.out = out
+	s.percent = sharePercent
+	s.stale = false
 	s.servers = s.servers[:0:0]
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
@@ -141,7 +141,7 @@
 			v = &server{}
 		}
 		v.host = h
-		v.usable = s.usable(h.Name, sharePercent)
+		v.usable = s.usableLocked(h.Name)
 		s.servers = append(s.servers, v)
 		names = append(names, h.Name)
 	}
@@ -149,12 +149,25 @@
 	s.serveLocked()
 }
 
-func (s *Service) usable(name string, sharePercent float64) int {
+// Nudge counts the slots again if a count proved wrong, and serves those who wait.
+func (s *Service) Nudge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stale {
+		s.stale = false
+		for _, v := range s.servers {
+			v.usable = s.usableLocked(v.host.Name)
+		}
+	}
+	s.serveLocked()
+}
+
+func (s *Service) usableLocked(name string) int {
 	usable, _ := s.permits.Slots(name)
-	if sharePercent <= 0 || sharePercent >= 100 || usable == 0 {
+	if s.percent <= 0 || s.percent >= 100 || usable == 0 {
 		return usable
 	}
-	return max(1, int(float64(usable)*sharePercent/100))
+	return max(1, int(float64(usable)*s.percent/100))
 }
 
 func (s *Service) await(ctx context.Context, item *dotterqueue.Item[*waiter], patience dotterclock.Millis) (*Grant, error) {
@@ -189,135 +202,6 @@
 	return v.grant, nil
 }
 
-// grantLocked returns a slot that is free now, or nil.
-func (s *Service) grantLocked(ticket Ticket) *Grant {
-	now := s.clock.Now()
-	wait := s.waitLocked(s.queue.Len())
-	for range s.servers {
-		s.collectLocked(now, ticket.Exclude)
-		i, ok := s.router.Choose(now, s.candidates, wait)
-		if !ok {
-			return nil
-		}
-		v := s.positions[i]
-		permit, ok := s.permits.Slot(v.host.Name)
-		if ok {
-			v.inFlight++
-			return &Grant{Host: v.host, service: s, server: v, permit: permit}
-		}
-		// The share has shrunk; the next Update tells how far.
-		v.usable = v.inFlight
-	}
-	return nil
-}
-
-// collectLocked lists the servers that have a free slot.
-func (s *Service) collectLocked(now dotterclock.Millis, exclude string) {
-	s.candidates = s.candidates[:0]
-	s.positions = s.positions[:0]
-	var excluded *server
-	for _, v := range s.servers {
-		if !v.free(now) {
-			continue
-		}
-		if v.host.Name == exclude {
-			excluded = v
-			continue
-		}
-		s.addLocked(v)
-	}
-	if len(s.candidates) == 0 && excluded != nil {
-		s.addLocked(excluded)
-	}
-}
-
-func (s *Service) addLocked(v *server) {
-	s.candidates = append(s.candidates, dotterelusher.RouteCandidate{
-		Server:   v.host.Name,
-		Slots:    v.usable,
-		InFlight: v.inFlight,
-	})
-	s.positions = append(s.positions, v)
-}
-
-// refusalLocked returns why a request that has to wait is refused at once, or nil.
-func (s *Service) refusalLocked(ticket Ticket) *dotterrequest.Refusal {
-	switch {
-	case s.out:
-		return dotterrequest.NotRun(dotterrequest.ReasonDomainOut, "the failure domain is out of service", noSlotsReturn)
-	case len(s.servers) == 0:
-		return dotterrequest.NotRun(dotterrequest.ReasonNoServer, "no live backend server", noSlotsReturn)
-	case s.queue.Len() >= s.settings.QueueItems:
-		return s.fullLocked(ticket)
-	case s.waitLocked(s.queue.Len()) > s.patienceLocked(ticket):
-		return dotterrequest.NotRun(dotterrequest.ReasonWaitTooLong, "it could not be answered in time", s.returnLocked())
-	}
-	return nil
-}
-
-// fullLocked returns nil when the request goes before one that waits.
-func (s *Service) fullLocked(ticket Ticket) *dotterrequest.Refusal {
-	first := s.queue.Peek()
-	if first != nil && ticket.Rank < first.Rank {
-		return nil
-	}
-	return dotterrequest.NotRun(dotterrequest.ReasonQueueFull, "the queue is full", s.returnLocked())
-}
-
-func (s *Service) displacedLocked() *dotterrequest.Refusal {
-	return dotterrequest.NotRun(dotterrequest.ReasonDisplaced, "another request goes first", s.returnLocked())
-}
-
-// patienceLocked returns how long a request may wait for its slot. One that
-// could no longer be answered within its target is refused, so that those that
-// are served are on time; where the service itself is too slow for the target,
-// a request may wait for as long as it runs.
-func (s *Service) patienceLocked(ticket Ticket) dotterclock.Millis {
-	latency := dotterclock.Millis(s.latency)
-	left := ticket.Deadline - s.clock.Now() - latency
-	patience := min(left, s.settings.QueueWaitMillis)
-	if ticket.Target > 0 {
-		patience = min(patience, max(ticket.Target-latency, latency))
-	}
-	return patience
-}
-
-// waitLocked returns the expected wait of a request with ahead others before it.
-func (s *Service) waitLocked(ahead int) dotterclock.Millis {
-	slots := 0
-	for _, v := range s.servers {
-		slots += v.usable
-	}
-	if slots == 0 {
-		return 0
-	}
-	return dotterclock.Millis(float64(ahead+1) * s.latency / float64(slots))
-}
-
-// returnLocked returns when a refused request is worth repeating: once those
-// that wait have been served, spread so that they don't all return together.
-func (s *Service) returnLocked() dotterclock.Millis {
-	backlog := s.waitLocked(s.queue.Len()) + dotterclock.Millis(s.latency)
-	base := max(shortestReturn, backlog)
-	return base + rand.N(base)
-}
-
-// serveLocked hands free slots to the requests that wait.
-func (s *Service) serveLocked() {
-	for {
-		first := s.queue.Peek()
-		if first == nil {
-			return
-		}
-		grant := s.grantLocked(first.Value.ticket)
-		if grant == nil {
-			return
-		}
-		s.queue.Remove(first)
-		first.Value.verdict <- verdict{grant: grant}
-	}
-}
-
 func (s *Service) released(v *server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/dotterservice/service_test.go
+++ b/internal/entry/dotterservice/service_test.go
@@ -240,6 +240,9 @@
 	permits.SetSlots(0)
 	_, ok := s.TryAcquire(Ticket{})
 	assert.False(t, ok, "Permits has the last word")
+	permits.SetSlots(2)
+	s.Nudge()
+	assert.Equal(t, 4, s.FreeSlots(), "a refused slot is counted again")
 }
 
 func TestServersThatGetNothingNew(t *testing.T) {
--- a/internal/entry/dotterservice/services.go
+++ b/internal/entry/dotterservice/services.go
@@ -11,9 +11,9 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 )
 
-// refreshMillis is how often the services are updated without a change: a
-// server's own word that it leaves runs out, a permit's count may be stale.
-const refreshMillis dotterclock.Millis = 200
+// nudgeMillis is how often those who wait are looked after without a change: a
+// server's own word that it leaves runs out, a count of slots may be stale.
+const nudgeMillis dotterclock.Millis = 200
 
 // Options is what Services works with.
 type Options struct {
@@ -86,17 +86,39 @@
 		directory := s.options.Directory.Changed()
 		permits := s.options.Permits.Changed()
 		s.refresh()
+		if !s.awaitChange(configuration, directory, permits) {
+			return nil
+		}
+	}
+}
+
+// awaitChange nudges the services until one of the channels is closed, and
+// reports whether the services go on.
+func (s *Services) awaitChange(configuration, directory, permits <-chan struct{}) bool {
+	for {
 		select {
 		case <-configuration:
+			return true
 		case <-directory:
+			return true
 		case <-permits:
-		case <-s.options.Clock.After(refreshMillis):
+			return true
+		case <-s.options.Clock.After(nudgeMillis):
+			s.nudge()
 		case <-s.life.Dying():
-			return nil
+			return false
 		}
 	}
 }
 
+func (s *Services) nudge() {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, v := range s.services {
+		v.Nudge()
+	}
+}
+
 func (s *Services) refresh() {
 	document, ok := s.options.Configuration.Current()
 	if !ok {
