--- a/claims.go
+++ b/claims.go
@@ -16,12 +16,13 @@
 // hosts together, one runs.
 type Claims interface {
 	// Claim claims key for a request with the fingerprint. The claim is Fresh when
-	// the caller of Claim is to run the request, or says what became of the first one.
+	// the caller of Claim is to run the request, or says what became of the first
+	// one. With ErrClaimsUnavailable it is Open if it may have been made all the same.
 	Claim(ctx context.Context, key dotterclaim.Key, fingerprint string) (dotterclaim.Claim, error)
 
 	// Complete keeps the answer to the request of a fresh claim.
 	Complete(ctx context.Context, claim dotterclaim.Claim, answer dotterclaim.Answer) error
 
-	// Abandon gives a fresh claim back whose request has not run.
+	// Abandon gives a claim back, fresh or in doubt, whose request has not run.
 	Abandon(ctx context.Context, claim dotterclaim.Claim) error
 }
