Requests: a host's own limits don't eject a server

Cause: a request that found no free connection of this host's share, or whose time was up before it was sent, counted as proof that the server was unreachable, and that ejects at once. Change: such failures say nothing to the router. Seen failing without it: TestOwnLimitsDontEjectAServer.

--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -117,6 +117,7 @@
 			defer func() { require.NoError(t, c.Close()) }()
 			_, err := exchangeOnce(tc.ctx, c, dotterhost.Host{Name: "b1", Address: tc.address}, "r1")
 			require.ErrorIs(t, err, dotterelusher.ErrBackendNotSent)
+			assert.Equal(t, name == "no connection", errors.Is(err, ErrNoConnection))
 		})
 	}
 	assert.Zero(t, live.requests.Load())
--- a/internal/entry/dotterconnection/pool.go
+++ b/internal/entry/dotterconnection/pool.go
@@ -13,6 +13,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 )
 
+// ErrNoConnection means that this host may have no further connection to the
+// server at present; it is an ErrBackendNotSent that says nothing about the server.
+var ErrNoConnection = eris.Wrap(dotterelusher.ErrBackendNotSent, "no free connection")
+
 // probeLeadMillis is how long a request waits for a probe before it opens a new
 // connection.
 const probeLeadMillis dotterclock.Millis = 20
@@ -61,7 +65,7 @@
 		select {
 		case <-freed:
 		case <-limit.C:
-			return nil, eris.Wrap(dotterelusher.ErrBackendNotSent, "no free connection")
+			return nil, ErrNoConnection
 		case <-ctx.Done():
 			return nil, eris.Wrap(dotterelusher.ErrBackendNotSent, "the time is up")
 		}
--- a/internal/entry/dotterexchange/attempt.go
+++ b/internal/entry/dotterexchange/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/entry/dotterconnection"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrequest"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterservice"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
@@ -91,21 +92,24 @@
 
 func (a *attempt) failed(err error) result {
 	refusal := refusalOf(err)
-	a.reportFailure(refusal)
+	a.reportFailure(err)
 	release(a.grant, err)
 	a.cancel(nil)
 	return result{refusal: refusal, server: a.grant.Host.Name}
 }
 
-func (a *attempt) reportFailure(refusal *dotterrequest.Refusal) {
-	if errors.Is(context.Cause(a.ctx), errHedgeWon) {
+// reportFailure tells the router what the failure says about the server: nothing
+// when the caller went away, or when there was no time or no connection to send.
+func (a *attempt) reportFailure(err error) {
+	unsent := errors.Is(err, dotterelusher.ErrBackendNotSent)
+	switch {
+	case errors.Is(context.Cause(a.ctx), errHedgeWon):
 		a.report(a.elapsed(), false, false)
-		return
-	}
-	if errors.Is(a.ctx.Err(), context.Canceled) {
-		return
+	case errors.Is(a.ctx.Err(), context.Canceled):
+	case unsent && (a.ctx.Err() != nil || errors.Is(err, dotterconnection.ErrNoConnection)):
+	default:
+		a.report(a.elapsed(), true, unsent)
 	}
-	a.report(a.elapsed(), true, refusal.Outcome == dotteroutcome.NotRun)
 }
 
 func (a *attempt) report(latency dotterclock.Millis, failed, unreachable bool) {
--- a/internal/entry/dotterproxy/outcome_test.go
+++ b/internal/entry/dotterproxy/outcome_test.go
@@ -1,6 +1,7 @@
 package dotterproxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,9 +15,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrequest"
+	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrouter"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
+	"github.com/dotterelusher/dotterelusher/internal/tool/dotterfake"
 )
 
 const tick = 2 * time.Millisecond
@@ -302,6 +306,41 @@
 	assert.EqualValues(t, 1, onLeaving.Load())
 }
 
+// TestOwnLimitsDontEjectAServer: a host that has no connection left must not
+// take the server for a dead one.
+func TestOwnLimitsDontEjectAServer(t *testing.T) {
+	release := make(chan struct{})
+	var runs atomic.Int64
+	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			<-release
+		}
+		fine(w, r)
+	})
+	router := dotterrouter.NewPowerOfTwo(1)
+	permits := dotterfake.NewPermits(8, 1)
+	f := start(t, func(o *Options) {
+		o.Limits.RetryPercent = 0
+		o.Permits = permits
+		o.Connections.DialMillis = 20
+		o.NewRouter = func(template string) dotterelusher.Router {
+			if template == "clearance" {
+				return router
+			}
+			return dotterrouter.NewRandom(1)
+		}
+	}, backendHost("b1", address, "clearance"))
+	first := make(chan answer, 1)
+	go func() { first <- f.call(t, http.MethodPost, "clearance/1", "") }()
+	require.Eventually(t, func() bool { return runs.Load() == 1 }, patience, tick)
+	got := f.call(t, http.MethodPost, "clearance/1", "")
+	assert.Equal(t, dotterrequest.ReasonUnreachable, got.reason(t))
+	close(release)
+	assert.Equal(t, dotteroutcome.Done, (<-first).outcome)
+	require.NoError(t, f.proxy.Drain(context.Background()))
+	assert.False(t, router.Ejected("b1"))
+}
+
 func TestListAndConfigurationTakeServersOut(t *testing.T) {
 	tests := map[string]func(f *fixture, h dotterhost.Host){
 		"leaving in the list": func(f *fixture, h dotterhost.Host) {
