Cluster: the record from a peer also while the store hangs; whom to dial from it

Cause: (1) one time limit covered the read of the store and the question to the peers, so a store that hangs left none for the latter. Change: a limit of its own for the peers; addresses of this domain's record count as known. New tests: TestRecordComesFromAPeer (a store that hangs for one member), TestCutOffFromTheStoreIsProvedByPeers.

--- a/internal/cluster/dottermember/keeper_test.go
+++ b/internal/cluster/dottermember/keeper_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
@@ -147,3 +150,49 @@
 		})
 	}
 }
+
+// hungStore answers nothing while it hangs.
+type hungStore struct {
+	*dottermemory.Store
+	hangs atomic.Bool
+}
+
+func (s *hungStore) wait(ctx context.Context) error {
+	if !s.hangs.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return dotterelusher.ErrStoreUnavailable
+}
+
+func (s *hungStore) Get(ctx context.Context, key string) (dotterkey.Entry, error) {
+	if err := s.wait(ctx); err != nil {
+		return dotterkey.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *hungStore) List(ctx context.Context, prefix string) ([]dotterkey.Entry, dotterkey.Revision, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, 0, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// TestRecordComesFromAPeer has one member cut off from the store while another
+// process joins: it learns of the epoch from a peer and gives up its part.
+func TestRecordComesFromAPeer(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	own := &hungStore{Store: store}
+	list := &hostList{}
+	list.set(false, backend("s"))
+	h1 := startNode(t, "h1", "127.0.0.1:0", own, list)
+	h2 := startNode(t, "h2", "127.0.0.1:0", store, list)
+	require.Eventually(t, func() bool { return sharedEqually([]*node{h1, h2}) }, patience, look)
+	own.hangs.Store(true)
+	h3 := startNode(t, "h3", "127.0.0.1:0", store, list)
+	require.Eventually(t, func() bool {
+		return h3.usable("s") >= 2 && h1.usable("s")+h2.usable("s")+h3.usable("s") == 8
+	}, patience, look)
+	require.EqualValues(t, 3, h1.keeper.Record().Current.Number)
+}
--- a/internal/cluster/dottermember/read.go
+++ b/internal/cluster/dottermember/read.go
@@ -33,12 +33,13 @@
 	k.dial(addresses)
 }
 
-// dial makes addresses those that the mesh dials.
+// dial makes addresses, and those of this failure domain's record, the ones that
+// the mesh dials.
 func (k *Keeper) dial(addresses []string) {
 	k.mu.Lock()
 	k.addresses = addresses
 	k.mu.Unlock()
-	k.mesh.SetAddresses(addresses)
+	k.mesh.SetAddresses(k.knownAddresses())
 }
 
 // askAddresses asks a peer, by chance, whom to dial, and keeps what is known.
@@ -53,15 +54,20 @@
 	if err := k.mesh.Call(ctx, live[rand.N(len(live))].Name, methodAddresses, nil, &told); err != nil {
 		return
 	}
-	known := append(k.knownAddresses(), told...)
-	slices.Sort(known)
-	k.dial(slices.Compact(known))
+	k.dial(append(k.knownAddresses(), told...))
 }
 
+// knownAddresses returns the addresses in the records last read. This failure
+// domain's record may be newer than the last read of all.
 func (k *Keeper) knownAddresses() []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.Clone(k.addresses)
+	known := slices.Clone(k.addresses)
+	for _, m := range k.record.Current.Members {
+		known = append(known, m.Address)
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
 }
 
 func (k *Keeper) answerAddresses(context.Context, string, json.RawMessage) (any, error) {
@@ -89,17 +95,25 @@
 // catchUp reads the record because a peer has adopted a later epoch, from the
 // store or, if that fails, from a peer.
 func (k *Keeper) catchUp(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	bounded, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
-	record, _, err := k.read(ctx)
+	record, _, err := k.read(bounded)
 	if err == nil {
 		k.adopt(record)
 		return
 	}
+	k.askRecord(ctx)
+}
+
+// askRecord asks the peers of this failure domain for the record.
+func (k *Keeper) askRecord(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	defer cancel()
 	for _, p := range k.mesh.Live() {
 		if p.FailureDomain != k.domain {
 			continue
 		}
+		var record Record
 		if err := k.mesh.Call(ctx, p.Name, methodRecord, nil, &record); err == nil {
 			k.adopt(record)
 		}
--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -1,7 +1,9 @@
 package dotterrevision
 
 import (
+	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,9 +11,11 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/cluster/dotterpeer"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
@@ -23,7 +27,7 @@
 	registry *prometheus.Registry
 }
 
-func startNode(t testing.TB, name, domain string, store *dottermemory.Store, seeds ...string) *node {
+func startNode(t testing.TB, name, domain string, store dotterelusher.Store, seeds ...string) *node {
 	t.Helper()
 	clock := dotterclock.NewSystem()
 	registry := prometheus.NewRegistry()
@@ -181,3 +185,59 @@
 	n := startNode(t, "h1", "a", store)
 	require.Eventually(t, n.allowed("a"), patience, look, "behind the stamp of an edit given up, the document is read")
 }
+
+// cutStore is a store that one process can be cut off from.
+type cutStore struct {
+	*dottermemory.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (dotterkey.Entry, error) {
+	if s.cut.Load() {
+		return dotterkey.Entry{}, dotterelusher.ErrStoreUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) ([]dotterkey.Entry, dotterkey.Revision, error) {
+	if s.cut.Load() {
+		return nil, 0, dotterelusher.ErrStoreUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Watch stays silent while the process is cut off.
+func (s *cutStore) Watch(ctx context.Context, prefix string, after dotterkey.Revision) (dotterkey.Changes, error) {
+	changes, err := s.Store.Watch(ctx, prefix, after)
+	if s.cut.Load() {
+		return dotterkey.Changes{}, dotterelusher.ErrStoreUnavailable
+	}
+	return changes, err
+}
+
+func TestCutOffFromTheStoreIsProvedByPeers(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	edit(t, store, setDomain("one", "a", false))
+	edit(t, store, setDomain("two", "b", false))
+	own := &cutStore{Store: store}
+	a := startNode(t, "a1", "a", own)
+	startNode(t, "b1", "b", store, a.address())
+	require.Eventually(t, a.has(2), patience, look)
+
+	own.cut.Store(true)
+	cutAt := a.holder.clock.Now()
+	provedSince := func() bool {
+		a.holder.mu.Lock()
+		defer a.holder.mu.Unlock()
+		return a.holder.fresh.provedAt > cutAt+EvidenceLimit
+	}
+	require.Eventually(t, provedSince, patience, look, "b still reads the store")
+	require.Eventually(t, a.allowed("a"), patience, look)
+
+	edit(t, store, setDomain("three", "a", true))
+	require.Eventually(t, func() bool {
+		p := a.holder.StartsAllowed("a")
+		return !p.Allowed && !p.Overridable
+	}, patience, look, "the change comes by b")
+	require.EqualValues(t, 3, a.holder.revision())
+}
