Cluster: a process that is leaving does not join after all

Cause: a join under way while Leave begins could land after it and leave a member that nobody runs. Change: the join looks at the leaving mark just before its write. A window of one store call stays; its price is an idle share until the process is proved gone. Run: go test ./internal/cluster/... passes.

--- a/internal/cluster/dottermember/keeper.go
+++ b/internal/cluster/dottermember/keeper.go
@@ -191,6 +191,9 @@
 		return
 	}
 	err := k.change(ctx, kindJoin, func(r Record) Record {
+		if k.isLeaving() {
+			return r
+		}
 		joined, ok := r.WithJoined(self)
 		if !ok {
 			k.logger.Warn("too many open epochs to join", zap.Int("Open", len(r.Open)))
@@ -202,6 +205,12 @@
 	}
 }
 
+func (k *Keeper) isLeaving() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving
+}
+
 // closeEpochs drops the open epochs that every member has let go of.
 func (k *Keeper) closeEpochs(ctx context.Context) {
 	record := k.Record()
