Tasks: a reserve that carries a minute's outage of short tasks

Change: twelve fills, at most 512 attempts a shard, 512 tasks a template. Also: drains taken over at every step; each checkpoint is resumed from once.

--- a/internal/task/dotterowner/bench_test.go
+++ b/internal/task/dotterowner/bench_test.go
@@ -164,3 +164,38 @@
 		})
 	}
 }
+
+// BenchmarkOutage compares the starts of a minute with those of a minute in
+// which the store is away, with more work waiting than there is room for.
+func BenchmarkOutage(b *testing.B) {
+	for _, run := range []dotterclock.Millis{5_000, 20_000, 60_000} {
+		b.Run(fmt.Sprintf("%ds", run/dotterclock.Second), func(b *testing.B) {
+			before, during, bytes := 0, 0, int64(0)
+			for b.Loop() {
+				p := newPool(b, 9)
+				store := &countingStore{Store: p.store}
+				options := p.options("bench/1")
+				options.Limits.RingSize = 0
+				options.Store = store
+				o := p.open(options)
+				for range 3 {
+					p.submit(o, many(600, task(true, run))...)
+				}
+				p.pass(dotterclock.Second * 70)
+				first, bytesBefore := p.totalStarts(), store.bytes.Load()
+				p.pass(60 * dotterclock.Second)
+				second := p.totalStarts()
+				bytes += store.bytes.Load() - bytesBefore
+				p.store.SetDown(true)
+				p.pass(60 * dotterclock.Second)
+				during += p.totalStarts() - second
+				before += second - first
+				p.store.SetDown(false)
+				o.Stop()
+			}
+			b.ReportMetric(float64(before)/float64(b.N), "starts-before")
+			b.ReportMetric(float64(bytes)/float64(before), "B/start")
+			b.ReportMetric(float64(during)/float64(b.N), "starts-in-outage")
+		})
+	}
+}
--- a/internal/task/dotterowner/kill_test.go
+++ b/internal/task/dotterowner/kill_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
@@ -49,6 +50,7 @@
 	"answers of workers lost":    func(p *fakePool) { p.workers["d-w0"].lose, p.workers["d-w1"].lose = 3, 3 },
 	"a worker that refuses":      func(p *fakePool) { p.workers["d-w0"].refuse = true },
 	"a worker that is cut off":   func(p *fakePool) { p.workers["d-w1"].cut = true },
+	"a worker that drains":       func(p *fakePool) { p.document.Revision++; p.document.Draining = []string{"d-w0"} },
 	"a second epoch in between":  func(p *fakePool) { p.between = true },
 	"a store that is down after": func(p *fakePool) { p.outage = 5 * dotterclock.Second },
 }
@@ -84,6 +86,7 @@
 	p.pass(2 * dotterclock.Second)
 	p.checkTruth()
 	p.checkStarts(b, ids)
+	p.checkResumes(ids)
 	p.checkCharges(b)
 	if f.freeze && a == nil {
 		a = <-opened
@@ -152,7 +155,7 @@
 
 // submitThrough submits a few tasks unless the process is struck first.
 func (p *fakePool) submitThrough(o *Owner, process *process) []dottertask.ID {
-	tasks := append(many(3, task(true, 300)), many(3, task(false, 300))...)
+	tasks := append(many(3, task(true, 600)), many(3, task(false, 300))...)
 	results := make(chan []dottertask.Task, 1)
 	go func() {
 		named, _ := o.Submit(p.t.Context(), tasks)
@@ -175,6 +178,32 @@
 	return ids
 }
 
+func TestDrainIsTakenOverAtEveryStep(t *testing.T) {
+	for step := 8; step <= killSteps; step++ {
+		for name, f := range map[string]fault{"killed before": {at: step}, "killed after": {at: step, after: true}} {
+			t.Run(fmt.Sprintf("%s call %d", name, step), func(t *testing.T) {
+				t.Parallel()
+				p := newPool(t, 2)
+				first := newProcess(f)
+				a := <-p.tryOpen(p.options("a/1").within(p, first))
+				p.owners = append(p.owners, a)
+				ids := p.submitThrough(a, first)
+				p.pump(20*dotterclock.Second, func() bool { return first.hasStruck() || p.totalStarts() >= 4 })
+				p.editDocument(func(d *dotterconfig.Document) { d.Draining = []string{"d-w0"} })
+				p.pump(20*dotterclock.Second, func() bool { return first.hasStruck() || p.allEnded(a, ids) })
+				p.abandon(a, first)
+				b := p.open(p.options("b/1"))
+				defer b.Stop()
+				p.pump(120*dotterclock.Second, func() bool { return p.allKnownEnded(b, ids) })
+				p.checkTruth()
+				p.checkStarts(b, ids)
+				p.checkResumes(ids)
+				p.checkCharges(b)
+			})
+		}
+	}
+}
+
 func (p *fakePool) allEnded(o *Owner, ids []dottertask.ID) bool {
 	for _, id := range ids {
 		t, _, err := o.Get(p.t.Context(), id)
@@ -218,6 +247,20 @@
 	}
 }
 
+// checkResumes checks that work resumes once from each of its checkpoints.
+func (p *fakePool) checkResumes(ids []dottertask.ID) {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		seen := map[string]bool{}
+		for _, from := range p.resumed[id] {
+			require.False(p.t, from != "" && seen[from], "%s resumed twice from %s", id, from)
+			seen[from] = true
+		}
+	}
+}
+
 // checkCharges checks that what is charged is what the workers ran.
 func (p *fakePool) checkCharges(o *Owner) {
 	p.t.Helper()
--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -80,6 +80,6 @@
 		AnswerWithin:   2 * dotterclock.Second,
 		StrandedAfter:  15 * dotterclock.Second,
 		Queue:          20_000,
-		Ahead:          256,
+		Ahead:          512,
 	}
 }
--- a/internal/task/dotterowner/plan.go
+++ b/internal/task/dotterowner/plan.go
@@ -15,7 +15,7 @@
 	// planInterval is the least time between two plans.
 	planInterval = 100
 	// planPerTemplate is the most tasks of one template that a plan looks at.
-	planPerTemplate = 256
+	planPerTemplate = 512
 	// replanInterval is the time after which a waiting queue is planned again though nothing changed.
 	replanInterval = dotterclock.Second
 )
--- a/internal/task/dotterowner/reserve.go
+++ b/internal/task/dotterowner/reserve.go
@@ -102,7 +102,7 @@
 }
 
 // aheadLaps is how often the attempts reserved ahead may fill their worker.
-const aheadLaps = 6
+const aheadLaps = 12
 
 const (
 	// drainInterval is the time between two rounds of evictions from draining workers.
