Tasks: split long files, forget workers that are gone, move within a domain too

A shard without usable workers may now move its tasks to other shards of its own failure domain. ask no longer returns before its function ran (it could race with the caller's reading). go test ./internal/task/...: passes.

--- a/internal/task/dotterowner/handoff.go
+++ b/internal/task/dotterowner/handoff.go
@@ -18,7 +18,7 @@
 	offerRetry = dotterclock.Second
 )
 
-// handOff moves waiting tasks to other failure domains when this shard can't
+// handOff moves waiting tasks to other shards when this shard can't
 // run them: offered in this log, accepted in the other, moved in this one.
 func (o *Owner) handOff(now dotterclock.Millis) {
 	for target, f := range o.offers {
--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -16,7 +16,7 @@
 
 // Handoff finds other shards and passes tasks on to them.
 type Handoff interface {
-	// Targets returns shards of other failure domains that may take tasks of shard.
+	// Targets returns other shards that may take tasks of shard.
 	Targets(shard dottershard.Name) []string
 
 	// Spare returns the room that other shards have free while none of their tasks wait.
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -148,8 +148,12 @@
 	}
 }
 
-// ask runs f on the loop and waits for it to finish.
+// ask runs f on the loop and waits for it to finish; the loop never waits, so
+// that takes no longer than what is queued before f.
 func (o *Owner) ask(ctx context.Context, f func()) error {
+	if ctx.Err() != nil {
+		return eris.Wrap(ErrUnknown, ctx.Err().Error())
+	}
 	done := make(chan struct{})
 	if !o.post(func() { f(); close(done) }) {
 		return ErrDeposed
@@ -159,8 +163,6 @@
 		return nil
 	case <-o.closed:
 		return ErrDeposed
-	case <-ctx.Done():
-		return eris.Wrap(ErrUnknown, ctx.Err().Error())
 	}
 }
 
--- a/internal/task/dotterowner/runs.go
+++ b/internal/task/dotterowner/runs.go
@@ -36,12 +36,23 @@
 		o.listWorker(h)
 	}
 	for name, w := range o.workers {
-		if _, ok := listed[name]; ok || !w.listed {
-			continue
+		if _, ok := listed[name]; !ok {
+			o.unlistWorker(w, now)
 		}
+	}
+}
+
+// unlistWorker notes that w is off the host list, and forgets it once it is
+// gone and nothing is bound to it.
+func (o *Owner) unlistWorker(w *worker, now dotterclock.Millis) {
+	if w.listed {
 		w.listed = false
 		w.missingSince = now
 		o.dirty = true
+		return
+	}
+	if len(w.runs) == 0 && !w.calling && w.gone(now, o.limits) {
+		delete(o.workers, w.host.Name)
 	}
 }
 
--- a/internal/task/dotterservice/handoff.go
+++ b/internal/task/dotterservice/handoff.go
@@ -21,7 +21,7 @@
 
 var _ dotterowner.Handoff = handoff{}
 
-// Targets returns the shards of other failure domains that have workers and an owner.
+// Targets returns the other shards that have an owner and workers that take new work.
 func (h handoff) Targets(shard dottershard.Name) []string {
 	document, ok := h.service.options.Configuration.Current()
 	if !ok {
@@ -30,7 +30,7 @@
 	capacities := h.service.capacities(document)
 	var targets []string
 	for _, name := range h.service.allShards() {
-		if name.FailureDomain == shard.FailureDomain || len(capacities[name]) == 0 {
+		if name == shard || len(capacities[name]) == 0 {
 			continue
 		}
 		if _, located := h.service.locate(name); located {
--- /dev/null
+++ b/internal/task/dotterservice/rebalance.go
@@ -0,0 +1,63 @@
+package dotterservice
+
+import (
+	"context"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottershard"
+)
+
+// handOver stops the owner of a shard and lets another host claim it.
+func (s *Service) handOver(ctx context.Context, name dottershard.Name) {
+	owner, ok := s.own(name)
+	if !ok {
+		return
+	}
+	owner.Stop()
+	s.release(ctx, name)
+	s.vacantSince[name] = s.options.Clock.Now()
+}
+
+func (s *Service) handOverAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.timing.CallTimeout.Duration())
+	defer cancel()
+	for _, name := range s.owned() {
+		s.handOver(ctx, name)
+	}
+	if s.lease != "" {
+		_ = s.options.Store.Revoke(ctx, s.lease)
+	}
+}
+
+// rebalance hands at most one shard over to the host that should own it.
+func (s *Service) rebalance(ctx context.Context, now dotterclock.Millis) {
+	for _, name := range s.owned() {
+		if s.shouldOwn(name) {
+			delete(s.misplaced, name)
+			continue
+		}
+		since, noted := s.misplaced[name]
+		if !noted {
+			s.misplaced[name] = now
+			continue
+		}
+		if now >= since+s.timing.Rebalance {
+			delete(s.misplaced, name)
+			s.handOver(ctx, name)
+			return
+		}
+	}
+}
+
+// shouldOwn reports whether no live host comes before this one for the shard.
+func (s *Service) shouldOwn(name dottershard.Name) bool {
+	if name.FailureDomain == s.options.FailureDomain {
+		return dottershard.RankHosts(name, s.candidates(name))[0] == s.options.Host
+	}
+	for _, p := range s.options.Peers.Live() {
+		if p.FailureDomain == name.FailureDomain && !p.Leaving {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/task/dotterservice/submit.go
+++ b/internal/task/dotterservice/submit.go
@@ -42,60 +42,6 @@
 	return s.submitParts(ctx, document, tasks)
 }
 
-// newTask returns the task that a submission asks for, without a name.
-func newTask(document dotterconfig.Document, sub dottersubmission.Submission) (dottertask.Task, error) {
-	template, ok := document.Template(sub.Template)
-	if !ok {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: no template %q", sub.Template)
-	}
-	if template.Kind != dotterconfig.KindTask {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: %q is not for tasks", sub.Template)
-	}
-	task := dottertask.Task{
-		Team: template.Team, Template: template.Name, Key: sub.Key, Size: template.Size, RunMillis: template.RunMillis,
-		Payload: sub.Payload, Repeatable: template.Repeatable, Urgent: template.Urgent || sub.Urgent,
-		Critical: template.Critical, Rank: template.Rank,
-	}
-	if !sub.Size.IsZero() {
-		task.Size = sub.Size
-	}
-	if sub.RunMillis > 0 {
-		task.RunMillis = sub.RunMillis
-	}
-	if task.Size.IsZero() || !(dotterroom.Room{}).Fits(task.Size) {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Size: %s is not a size", task.Size)
-	}
-	return task, nil
-}
-
-// neverFits returns why some task fits no worker of the pool, or "".
-func (s *Service) neverFits(tasks []dottertask.Task) string {
-	var capacities []dotterroom.Room
-	for _, h := range s.options.Directory.Hosts() {
-		if h.Role == dotterhost.RoleWorker {
-			capacities = append(capacities, h.Capacity)
-		}
-	}
-	if len(capacities) == 0 {
-		return ""
-	}
-	for _, t := range tasks {
-		if !fitsAny(t.Size, capacities) {
-			return "Size: no worker of the pool has room for " + t.Size.String()
-		}
-	}
-	return ""
-}
-
-func fitsAny(size dotterroom.Room, capacities []dotterroom.Room) bool {
-	for _, c := range capacities {
-		if size.Fits(c) {
-			return true
-		}
-	}
-	return false
-}
-
 // part is the submissions of one call that go to one shard.
 type part struct {
 	shard   string // empty: any shard
@@ -248,12 +194,3 @@
 	}
 	return capacities
 }
-
-func fitAll(tasks []dottertask.Task, capacities []dotterroom.Room) bool {
-	for _, t := range tasks {
-		if !fitsAny(t.Size, capacities) {
-			return false
-		}
-	}
-	return true
-}
