Tasks: send a start that came too late again, blame no worker for it

Cause: a refused start counts as a failure of its worker; one that was refused because it was late says nothing about the worker. An attempt that a worker reports as running is taken for running whatever was known of it before. Seen failing without the rule (TestStartThatComesTooLateIsSentAgain).

--- a/internal/task/dotterowner/ends.go
+++ b/internal/task/dotterowner/ends.go
@@ -53,8 +53,9 @@
 	o.endAttempt(r, s, now)
 }
 
+// confirm notes that the worker has the attempt, whatever was known of it before.
 func (o *Owner) confirm(r *run, now dotterclock.Millis) {
-	if r.phase != phaseSending && r.phase != phaseUncertain {
+	if r.phase == phaseRunning || r.phase == phaseEnded {
 		return
 	}
 	r.phase = phaseRunning
--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -64,6 +64,7 @@
 	overfull      []string
 	late          []dotterattempt.Start // starts kept back, to arrive later
 	hold          bool                  // keep the next starts back
+	ahead, leaped dotterclock.Millis    // the workers' clocks leap at the next start
 	between       bool                  // another owner comes between the two
 	outage        dotterclock.Millis    // the store is down for so long before the takeover
 	document      dotterconfig.Document
@@ -224,7 +225,7 @@
 
 func (p *fakePool) reportOf(w *fakeWorker, shard, refused string) dotterattempt.Report {
 	report := dotterattempt.Report{
-		Worker: w.host.Name, Incarnation: w.host.Incarnation, Clock: p.clock.Now() + 77, Epoch: w.epochs[shard], Refused: refused,
+		Worker: w.host.Name, Incarnation: w.host.Incarnation, Clock: p.clock.Now() + 77 + p.leaped, Epoch: w.epochs[shard], Refused: refused,
 	}
 	for ref, a := range w.attempts {
 		if ref.Shard == shard {
@@ -253,7 +254,8 @@
 	if w.refuse {
 		return p.reportOf(w, start.Shard, "refuses everything"), nil
 	}
-	now := p.clock.Now() + 77
+	now := p.clock.Now() + 77 + p.leaped + p.ahead
+	p.leaped, p.ahead = p.leaped+p.ahead, 0
 	if _, known := w.attempts[start.Ref]; !known && now > start.LatestStart {
 		return p.reportOf(w, start.Shard, "late"), nil
 	}
--- a/internal/task/dotterowner/fault_test.go
+++ b/internal/task/dotterowner/fault_test.go
@@ -94,6 +94,20 @@
 	p.checkTruth()
 }
 
+func TestStartThatComesTooLateIsSentAgain(t *testing.T) {
+	t.Parallel()
+	p := newPool(t, 1)
+	p.ahead = 60 * dotterclock.Second // the worker's clock leaps ahead between two answers
+	o := p.open(p.options("a/1"))
+	defer o.Stop()
+	id := p.submit(o, task(false, 500))[0]
+	p.untilState(o, id, dottertask.StateDone, 60*dotterclock.Second)
+	task, _, err := o.Get(context.Background(), id)
+	require.NoError(t, err)
+	require.Equal(t, 1, task.Attempt, "the worker is not blamed")
+	require.Equal(t, 1, p.startsOf(id))
+}
+
 func TestTakeoverKeepsUnreachableWorkersBound(t *testing.T) {
 	t.Parallel()
 	p := newPool(t, 2)
--- a/internal/task/dotterowner/starts.go
+++ b/internal/task/dotterowner/starts.go
@@ -86,6 +86,9 @@
 		o.countStart("Indeterminate")
 		r.phase = phaseUncertain
 		w.suspect = true
+	case report.Refused != "" && report.Clock > r.latestStart:
+		o.countStart("Late")
+		r.phase = phaseReady
 	case report.Refused != "":
 		o.countStart("Refused")
 		o.refusedStart(r, report.Refused, now)
