--- a/internal/task/dotterowner/bench_test.go
+++ b/internal/task/dotterowner/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterattempt"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterledger"
@@ -199,3 +201,33 @@
 		})
 	}
 }
+
+// BenchmarkRenewal reports what one renewal and its answer take as JSON, and
+// what that makes a second for one worker at the default lease.
+func BenchmarkRenewal(b *testing.B) {
+	for _, attempts := range []int{1, 10, 26} {
+		b.Run(fmt.Sprint(attempts), func(b *testing.B) {
+			var renewal dotterattempt.Renewal
+			var report dotterattempt.Report
+			for b.Loop() {
+				renewal = dotterattempt.Renewal{Shard: "valparaiso-2", Epoch: 7, Lease: DefaultLimits().Lease}
+				report = dotterattempt.Report{Worker: "valparaiso-w21", Incarnation: 3, Clock: 1796338207676, Epoch: 7}
+				for i := range attempts {
+					ref := dotterattempt.Ref{Shard: "valparaiso-2", Task: dottertask.ID(fmt.Sprintf("valparaiso-2-%d", 100000+i)), Attempt: 1}
+					renewal.Attempts = append(renewal.Attempts, ref)
+					report.Attempts = append(report.Attempts, dotterattempt.Status{
+						Ref: ref, Phase: dotterattempt.PhaseRunning, RanMillis: 123456, Size: dotterroom.Room{MilliCores: 2000, MemoryMB: 8000},
+					})
+				}
+			}
+			sent, err := json.Marshal(renewal)
+			require.NoError(b, err)
+			received, err := json.Marshal(report)
+			require.NoError(b, err)
+			perSecond := renewalsPerLease / DefaultLimits().Lease.Seconds()
+			b.ReportMetric(float64(len(sent)), "B/renewal")
+			b.ReportMetric(float64(len(received)), "B/report")
+			b.ReportMetric(float64(len(sent)+len(received))*perSecond, "B/s")
+		})
+	}
+}
