--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -16,7 +16,7 @@
 
 // Handoff finds other shards and passes tasks on to them.
 type Handoff interface {
-	// Targets returns shards of other failure domains that may take tasks of shard.
+	// Targets returns other shards that may take tasks of shard.
 	Targets(shard dottershard.Name) []string
 
 	// Spare returns the room that other shards have free while none of their tasks wait.
@@ -80,6 +80,6 @@
 		AnswerWithin:   2 * dotterclock.Second,
 		StrandedAfter:  15 * dotterclock.Second,
 		Queue:          20_000,
-		Ahead:          256,
+		Ahead:          512,
 	}
 }
