--- /dev/null
+++ b/internal/placement/dotterplacer/control_test.go
@@ -0,0 +1,136 @@
+package dotterplacer_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterattempt"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotternaive"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
+)
+
+// disturbedPool returns one worker on which a batch task runs beside a
+// latency-critical one.
+func disturbedPool(t *testing.T, placer *dotterplacer.Placer, repeatable bool) (p *pool, batch dottertask.ID) {
+	p = newPool(1, workerRoom)
+	size := dotterroom.Room{MilliCores: 8000, MemoryMB: 1000}
+	p.submit(dottertask.Task{Team: "b", Template: "service", Size: size, Critical: true, RunMillis: 3_600_000})
+	batch = p.submit(dottertask.Task{Team: "b", Template: "noisy", Size: size, RunMillis: 3_600_000, Repeatable: repeatable, Rank: 50})
+	p.apply(t, placer.Plan(p.state()))
+	require.NotNil(t, p.holder(batch))
+	return p, batch
+}
+
+// step plays one second with the slowdown reported for latency-critical tasks.
+func (p *pool) step(t *testing.T, placer *dotterplacer.Placer, slowdown float64) dotterplan.Plan {
+	p.now += dotterclock.Second
+	p.report(placer, func(h dotterplan.Holder) dotterattempt.Usage {
+		u := undisturbed(h)
+		if h.Task.Critical {
+			u.Slowdown = slowdown
+		}
+		return u
+	})
+	plan := placer.Plan(p.state())
+	p.apply(t, plan)
+	return plan
+}
+
+func TestADisturberIsThrottledThenEvicted(t *testing.T) {
+	tests := map[string]struct {
+		slowdown   float64
+		repeatable bool
+		throttled  bool
+		evicted    bool
+	}{
+		"within the target":        {slowdown: 1.2, repeatable: true},
+		"far over the target":      {slowdown: 3, repeatable: true, throttled: true, evicted: true},
+		"disturber not repeatable": {slowdown: 3, throttled: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			placer := dotterplacer.New(dotterplacer.Options{ThrottledPercent: 100})
+			p, batch := disturbedPool(t, placer, tc.repeatable)
+			throttled, evicted := dotterclock.Millis(0), dotterclock.Millis(0)
+			for range 40 {
+				plan := p.step(t, placer, tc.slowdown)
+				if len(plan.Throttles) > 0 && throttled == 0 {
+					throttled = p.now
+				}
+				if len(plan.Evictions) > 0 {
+					assert.Zero(t, evicted, "evicted twice")
+					assert.Equal(t, batch, plan.Evictions[0].Task)
+					evicted = p.now
+				}
+			}
+			assert.Equal(t, tc.throttled, throttled > 0)
+			assert.Equal(t, tc.evicted, evicted > 0)
+			assert.True(t, evicted == 0 || evicted-throttled >= 4*dotterclock.Second, "the throttle had no time to help")
+		})
+	}
+}
+
+func TestOneBadReportDoesNothingAndAThrottleIsLiftedLate(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{ThrottledPercent: 100})
+	p, batch := disturbedPool(t, placer, true)
+	assert.Empty(t, p.step(t, placer, 3).Throttles)
+	for range 20 {
+		assert.Empty(t, p.step(t, placer, 1).Throttles)
+	}
+	for p.holder(batch).Throttled == 0 {
+		p.step(t, placer, 2)
+	}
+	throttled := p.now
+	for step := 0; step < 300 && p.holder(batch).Throttled > 0; step++ {
+		p.step(t, placer, 1)
+	}
+	assert.Zero(t, p.holder(batch).Throttled)
+	assert.GreaterOrEqual(t, p.now-throttled, 15*dotterclock.Second)
+}
+
+func TestThrottlesWithholdNoMoreThanTheirShare(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{ThrottledPercent: 0.001, EvictionsPerMinute: 1, EvictionBurst: 1})
+	p, batch := disturbedPool(t, placer, true)
+	second := p.submit(dottertask.Task{Team: "b", Template: "noisy", Size: dotterroom.Room{MilliCores: 8000}, RunMillis: 3_600_000, Repeatable: true, Rank: 50})
+	p.apply(t, placer.Plan(p.state()))
+	for range 60 {
+		p.step(t, placer, 3)
+	}
+	throttled := 0
+	for _, id := range []dottertask.ID{batch, second} {
+		if h := p.holder(id); h != nil && h.Throttled > 0 {
+			throttled++
+		}
+	}
+	assert.LessOrEqual(t, throttled, 1)
+}
+
+func TestAWorkerThatFailsEverythingLosesFewTasks(t *testing.T) {
+	s := scenario{workers: 12, criticalLoad: 0.3, batchLoad: 0.3, wrong: 1, blackHoles: 1, ticks: 700}
+	m := newSimulation(s, 1, dotterplacer.New(dotterplacer.Options{}))
+	m.run()
+	assert.Positive(t, m.lost[0])
+	assert.Less(t, m.lost[0], 5)
+}
+
+// TestLearningHalvesTheTailAtTheSameThroughput holds one seed to the target;
+// docs/POLICY.md gives the spread over the others.
+func TestLearningHalvesTheTailAtTheSameThroughput(t *testing.T) {
+	s := scenario{workers: 12, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, ticks: 1200}
+	learned := newSimulation(s, 3, dotterplacer.New(dotterplacer.Options{}))
+	again := newSimulation(s, 3, dotterplacer.New(dotterplacer.Options{}))
+	naive := newSimulation(s, 3, dotternaive.New(dotternaive.RuleLeastLoaded))
+	learned.run()
+	again.run()
+	naive.run()
+	assert.LessOrEqual(t, quantile(learned.slowdowns, 0.99), quantile(naive.slowdowns, 0.99)/2)
+	assert.GreaterOrEqual(t, learned.batchWork, 0.95*naive.batchWork)
+	assert.Zero(t, learned.overfull)
+	assert.Equal(t, learned.slowdowns, again.slowdowns, "the policy isn't deterministic")
+}
--- a/internal/placement/dotterplacer/effects.go
+++ b/internal/placement/dotterplacer/effects.go
@@ -10,7 +10,7 @@
 	effectsSpan = 2 * dotterclock.Second
 
 	// caution is the number of standard deviations added for latency-critical victims.
-	caution = 0.25
+	caution = 0.1
 
 	// templatesAtOnce bounds the templates for which predictions are kept ready.
 	templatesAtOnce = 512
--- a/internal/placement/dotterplacer/options.go
+++ b/internal/placement/dotterplacer/options.go
@@ -21,7 +21,7 @@
 	DefaultTargetSlowdown = 1.3
 
 	defaultPlacementsPerPlan        = 64
-	defaultThrottledPercent         = 2
+	defaultThrottledPercent         = 1
 	defaultEvictionsPerMinute       = 6
 	defaultEvictionBurst            = 3
 	defaultUrgentEvictionsPerMinute = 240
--- a/internal/placement/dotterplacer/policy_bench_test.go
+++ b/internal/placement/dotterplacer/policy_bench_test.go
@@ -10,16 +10,19 @@
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
 )
 
-var policies = []struct {
+// policy is a named Placer of an evaluation.
+type policy struct {
 	name string
 	make func() dotterelusher.Placer
-}{
-	{"FirstFit", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleFirstFit) }},
-	{"LeastLoaded", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleLeastLoaded) }},
-	{"Threshold", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleThreshold) }},
-	{"Learned", func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) }},
 }
 
+var (
+	firstFit    = policy{"FirstFit", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleFirstFit) }}
+	leastLoaded = policy{"LeastLoaded", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleLeastLoaded) }}
+	threshold   = policy{"Threshold", func() dotterelusher.Placer { return dotternaive.New(dotternaive.RuleThreshold) }}
+	learned     = policy{"Learned", func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) }}
+)
+
 var scenarios = []struct {
 	name  string
 	seeds uint64
@@ -31,17 +34,28 @@
 	{"Waves", 3, scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.2, shift: 0.2, waves: true, wrong: 1, ticks: 1200}},
 	{"WrongSizes", 3, scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 4, ticks: 1200}},
 	{"BlackHoles", 3, scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, blackHoles: 2, ticks: 1200}},
+	{"Small", 3, scenario{workers: 12, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, ticks: 1200}},
 	{"SteadyHalfHour", 1, scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.3, shift: 0.2, wrong: 1, ticks: 3600}},
 	{"FullHalfHour", 1, scenario{workers: 24, criticalLoad: 0.3, batchLoad: 0.7, shift: 0.2, wrong: 1, ticks: 3600}},
 }
 
-// BenchmarkPolicies plays every scenario with every policy and seed. The unit
-// of throughput is core-seconds of batch work per second; "lateP99" is the p99
-// of the second half, when much of what can be learned is known.
+// BenchmarkPolicies plays every scenario with every policy. The unit of
+// throughput is core-seconds of batch work per second; "lateP99" is the p99 of
+// the second half, when much of what can be learned is known.
 func BenchmarkPolicies(b *testing.B) {
+	compare(b, 1, firstFit, leastLoaded, threshold, learned)
+}
+
+// BenchmarkPoliciesHeldOut plays seeds on which no parameter was chosen.
+func BenchmarkPoliciesHeldOut(b *testing.B) {
+	compare(b, 4, leastLoaded, learned)
+}
+
+// compare plays every scenario with each policy, on seeds from first on.
+func compare(b *testing.B, first uint64, policies ...policy) {
 	for _, s := range scenarios {
 		for _, p := range policies {
-			for seed := uint64(1); seed <= s.seeds; seed++ {
+			for seed := first; seed < first+s.seeds; seed++ {
 				b.Run(fmt.Sprintf("%s/%s/seed%d", s.name, p.name, seed), func(b *testing.B) {
 					var m *simulation
 					for range b.N {
--- a/internal/placement/dotterplacer/queue.go
+++ b/internal/placement/dotterplacer/queue.go
@@ -72,7 +72,7 @@
 	for _, c := range classify(r.state.Queue) {
 		r.placeClass(c)
 	}
-	if !r.cramped && !r.full() {
+	if len(r.state.Queue) > 0 && !r.cramped && !r.full() {
 		r.placer.advanceFront(r.state.Now)
 	}
 }
--- a/internal/placement/dotterplacer/score.go
+++ b/internal/placement/dotterplacer/score.go
@@ -7,11 +7,11 @@
 
 // The weights of the parts of a cost, in cores of batch progress.
 const (
-	criticalWeight = 0.2 // of the strain of one latency-critical task
+	criticalWeight = 0.1 // of the strain of one latency-critical task
 	exposureWeight = 3.0 // of the share of a worker that batch may still fill beside a latency-critical task
 	fitWeight      = 0.2
 	rackWeight     = 0.3
-	overWeight     = 4.0 // of being over the target, relative to nearing it
+	overWeight     = 12.0 // of being over the target, relative to nearing it
 
 	// noticeable is the smallest effect for which a task counts as a disturber.
 	noticeable = 0.02
--- a/internal/placement/dotterplacer/simulation_test.go
+++ b/internal/placement/dotterplacer/simulation_test.go
@@ -65,7 +65,9 @@
 // simulation is workers' progress under hidden interference, with late reports.
 type simulation struct {
 	scenario
-	random    *rand.Rand
+	random    *rand.Rand // set-up and reports
+	arrivals  *rand.Rand // the same for every policy
+	renewals  *rand.Rand // of latency-critical tasks that ended
 	placer    dotterelusher.Placer
 	document  dotterconfig.Document
 	hosts     []dotterhost.Host
@@ -97,7 +99,8 @@
 }
 
 func newSimulation(s scenario, seed uint64, placer dotterelusher.Placer) *simulation {
-	m := &simulation{scenario: s, random: rand.New(rand.NewPCG(seed, 1)), placer: placer, late: map[int][]delivery{}}
+	m := &simulation{scenario: s, placer: placer, late: map[int][]delivery{}}
+	m.random, m.arrivals, m.renewals = rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	m.now = 1_000_000
 	m.turned = m.now + 120*dotterclock.Second
 	m.lost = make([]int, s.workers)
@@ -126,7 +129,7 @@
 	total := m.criticalLoad * float64(s.workers*hostCores)
 	for used := 0.0; used < total; {
 		kind := m.random.IntN(criticals)
-		m.submit(kind)
+		m.submit(m.renewals, kind)
 		used += float64(m.sizes[kind].MilliCores)
 	}
 	return m
@@ -155,11 +158,11 @@
 	})
 }
 
-func (m *simulation) submit(kind int) {
+func (m *simulation) submit(random *rand.Rand, kind int) {
 	t := m.document.Templates[kind]
 	m.next++
 	m.queue = append(m.queue, &work{
-		kind: kind, size: m.sizes[kind], alone: m.runs[kind] * (0.7 + 0.6*m.random.Float64()), worker: -1,
+		kind: kind, size: m.sizes[kind], alone: m.runs[kind] * (0.7 + 0.6*random.Float64()), worker: -1,
 		task: dottertask.Task{
 			ID: dottertask.ID(fmt.Sprintf("s-%d", m.next)), Team: t.Team, Template: t.Name, Size: t.Size, RunMillis: t.RunMillis,
 			Repeatable: true, Critical: t.Critical, Rank: t.Rank, SubmittedAt: m.now, State: dottertask.StateQueued,
@@ -196,14 +199,14 @@
 	perTick := m.batchLoad * float64(m.workers*hostCores) / mean * float64(tick)
 	perTick *= 1 + m.shift*math.Sin(2*math.Pi*float64(m.step)/400)
 	for range int(perTick) {
-		m.submit(criticals + m.random.IntN(batches))
+		m.submit(m.arrivals, criticals+m.arrivals.IntN(batches))
 	}
-	if m.random.Float64() < perTick-math.Floor(perTick) {
-		m.submit(criticals + m.random.IntN(batches))
+	if m.arrivals.Float64() < perTick-math.Floor(perTick) {
+		m.submit(m.arrivals, criticals+m.arrivals.IntN(batches))
 	}
 	if m.waves && m.step%240 == 120 {
 		for range 6 * m.workers {
-			m.submit(criticals + batches - 1 - m.random.IntN(2))
+			m.submit(m.arrivals, criticals+batches-1-m.arrivals.IntN(2))
 		}
 	}
 }
@@ -238,7 +241,7 @@
 		}
 		w.slowdown = m.disturbance(w, &active, load)
 		m.progress(w)
-		u := dotterattempt.Usage{At: m.now, Used: w.size, Progress: min(1, w.done/w.alone), Slowdown: w.slowdown * (0.95 + 0.1*m.random.Float64())}
+		u := dotterattempt.Usage{At: m.now, Used: w.size, Progress: min(1, w.done/w.alone), Slowdown: w.slowdown * (0.95 + 0.1*m.arrivals.Float64())}
 		u.Task, u.Attempt = w.task.ID, w.task.Attempt
 		u.Slowdown /= w.weight()
 		usage = append(usage, u)
@@ -280,7 +283,7 @@
 	case w.done >= w.alone:
 		m.end(w, dotterattempt.PhaseDone)
 		if w.task.Critical {
-			m.submit(w.kind)
+			m.submit(m.renewals, w.kind)
 		}
 	case w.evictAt > 0 && m.step >= w.evictAt:
 		m.end(w, dotterattempt.PhaseCheckpointed)
