Placement: one bad report no longer leads to a throttle

Cause: a single report over the target left the smoothed slowdown over it for two reports, which counted as two. The test for it had reported before the placer knew the attempt; made stricter, it failed.

Change: a report counts when both it and the smoothed value are over the target. A test for the pause between evictions of a task.

--- a/internal/placement/dotterplacer/attempt.go
+++ b/internal/placement/dotterplacer/attempt.go
@@ -67,7 +67,7 @@
 		a.slowdown = u.Slowdown
 	}
 	a.slowdown += smoothing * (u.Slowdown - a.slowdown)
-	if a.slowdown <= a.target*upperBand {
+	if min(a.slowdown, u.Slowdown) <= a.target*upperBand {
 		a.over = 0
 		return
 	}
--- a/internal/placement/dotterplacer/control_test.go
+++ b/internal/placement/dotterplacer/control_test.go
@@ -76,9 +76,26 @@
 	}
 }
 
+func TestATaskIsNotEvictedAgainSoon(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{ThrottledPercent: 100, EvictionsPerMinute: 60, EvictionBurst: 10, Patience: 1})
+	p, batch := disturbedPool(t, placer, true)
+	var evicted []dotterclock.Millis
+	for range 200 {
+		if len(p.step(t, placer, 3).Evictions) > 0 {
+			evicted = append(evicted, p.now)
+			p.finishEvictions(placer)
+		}
+	}
+	require.Greater(t, len(evicted), 1, "%s is never placed again", batch)
+	for i := 1; i < len(evicted); i++ {
+		assert.GreaterOrEqual(t, evicted[i]-evicted[i-1], 60*dotterclock.Second)
+	}
+}
+
 func TestOneBadReportDoesNothingAndAThrottleIsLiftedLate(t *testing.T) {
 	placer := dotterplacer.New(dotterplacer.Options{ThrottledPercent: 100})
 	p, batch := disturbedPool(t, placer, true)
+	p.step(t, placer, 1)
 	assert.Empty(t, p.step(t, placer, 3).Throttles)
 	for range 20 {
 		assert.Empty(t, p.step(t, placer, 1).Throttles)
