--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -255,6 +255,8 @@
 		})
 	}
 	callers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
 	assert.LessOrEqual(t, most, 3)
 	assert.EqualValues(t, 12*20, s.requests.Load())
 }
