Tasks: bound the length of a shard's log

Cause: only the number of segments was bounded; a flood of submissions and cancellations could make the ring longer than one read of it may be (64 MB in the store's client), and the next owner could not open it. Change: above 32 MB submissions are refused, and empty segments are written over the oldest ones until the log is shorter. Seen failing without the latter (TestLongLogIsShortened).

--- a/internal/task/dotterowner/commit.go
+++ b/internal/task/dotterowner/commit.go
@@ -30,6 +30,7 @@
 	if now < o.nextWrite || o.writing != nil && !o.writing.uncertain {
 		return
 	}
+	o.shortenLog()
 	if o.writing == nil && len(o.pending) == 0 {
 		return
 	}
@@ -49,6 +50,14 @@
 	})
 }
 
+// shortenLog writes an empty segment over the oldest one when the log has grown
+// long and nothing else is to be written.
+func (o *Owner) shortenLog() {
+	if o.logBytes > o.limits.LogBytes && o.writing == nil && len(o.pending) == 0 {
+		o.propose(change{})
+	}
+}
+
 // answerSlow gives callers that wait for a slow write their final answer.
 func (o *Owner) answerSlow(now dotterclock.Millis) {
 	if o.writing != nil && now-o.writing.sealedAt >= o.limits.AnswerWithin {
@@ -90,6 +99,7 @@
 	o.options.Metrics.Records.Add(float64(len(b.segment.Records)))
 	o.options.Metrics.Bytes.Add(float64(len(b.segment.Encode())))
 	o.log.Applied(o.ledger, b.segment)
+	o.logBytes = o.log.Bytes()
 	o.writing = nil
 	o.setAway(false)
 	o.backoff = 0
--- a/internal/task/dotterowner/fault_test.go
+++ b/internal/task/dotterowner/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -364,3 +365,31 @@
 	p.pass(10 * dotterclock.Second)
 	require.Equal(t, 0, p.startsOf(id))
 }
+
+func TestLongLogIsShortened(t *testing.T) {
+	t.Parallel()
+	p := newPool(t, 1)
+	options := p.options("a/1")
+	options.Limits.LogBytes = 60_000
+	o := p.open(options)
+	defer o.Stop()
+	p.set(func() { p.allowed.Allowed = false })
+	large := task(true, 100)
+	large.Payload = strings.Repeat("x", 10_000)
+	var ids []dottertask.ID
+	var err error
+	for err == nil {
+		var named []dottertask.Task
+		named, err = p.trySubmit(o, large)
+		for _, n := range named {
+			ids = append(ids, n.ID)
+		}
+	}
+	require.ErrorIs(t, err, ErrRefused)
+	p.set(func() { p.allowed.Allowed = true })
+	p.pump(60*dotterclock.Second, func() bool { return p.allEnded(o, ids) })
+	p.pump(60*dotterclock.Second, func() bool {
+		_, err := p.trySubmit(o, task(true, 100))
+		return err == nil
+	})
+}
--- a/internal/task/dotterowner/options.go
+++ b/internal/task/dotterowner/options.go
@@ -62,6 +62,7 @@
 	StrandedAfter  dotterclock.Millis // tasks move when no worker was usable for this long
 	Queue          int                // most tasks that wait
 	Ahead          int                // most attempts reserved ahead
+	LogBytes       int                // submissions are refused while the log is longer
 	RingSize       int64              // segments of the log; zero means the log's own
 	Ended          int                // ended tasks kept readable; zero means the ledger's own
 }
@@ -81,5 +82,6 @@
 		StrandedAfter:  15 * dotterclock.Second,
 		Queue:          20_000,
 		Ahead:          512,
+		LogBytes:       32 << 20,
 	}
 }
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -45,6 +45,7 @@
 	offerSize    int // most tasks in the next offer
 	nextBalance  dotterclock.Millis
 	nextSync     dotterclock.Millis
+	logBytes     int // length of the log after the last write
 	hostsChanged <-chan struct{}
 	dirty        bool
 	nextPlan     dotterclock.Millis
@@ -88,6 +89,7 @@
 		dirty:      true,
 		lastUsable: options.Clock.Now(),
 	}
+	o.logBytes = log.Bytes()
 	o.adoptLedger()
 	o.logger.Info("Shard opened", zap.Int64("Epoch", log.Epoch()), zap.Int("Queued", ledger.QueueLen()), zap.Int("Bound", ledger.BoundLen()))
 	o.tomb.Go(o.loop)
--- a/internal/task/dotterowner/submit.go
+++ b/internal/task/dotterowner/submit.go
@@ -127,6 +127,9 @@
 	if o.ledger.QueueLen()+o.pendingTasks+len(tasks) > o.limits.Queue {
 		return eris.Wrap(ErrRefused, "the queue is full")
 	}
+	if o.logBytes > o.limits.LogBytes {
+		return eris.Wrap(ErrRefused, "the log is long, it is being shortened")
+	}
 	bytes := 0
 	for _, t := range tasks {
 		bytes += dotterrecord.Entry{Task: t}.Bytes()
--- a/internal/task/dottershardlog/log.go
+++ b/internal/task/dottershardlog/log.go
@@ -177,10 +177,11 @@
 		panic("shard log: a segment is written twice or out of order")
 	}
 	key := l.ring.key(segment.Number)
-	version, err := l.store.Put(ctx, key, segment.Encode(), l.ring.version(segment.Number), "")
+	value := segment.Encode()
+	version, err := l.store.Put(ctx, key, value, l.ring.version(segment.Number), "")
 	switch {
 	case err == nil:
-		l.written(segment, version)
+		l.written(segment, version, len(value))
 		return nil
 	case errors.Is(err, dotterelusher.ErrStoreUnavailable):
 		return eris.Wrapf(ErrUnavailable, "segment %d: %v", segment.Number, err)
@@ -204,12 +205,12 @@
 	if err != nil || !found.SameWrite(segment) {
 		return eris.Wrapf(ErrDeposed, "segment %d is by %s", segment.Number, found.Writer)
 	}
-	l.written(segment, entry.Version)
+	l.written(segment, entry.Version, len(entry.Value))
 	return nil
 }
 
-func (l *Log) written(segment dotterrecord.Segment, version dotterkey.Version) {
-	l.ring.setVersion(segment.Number, version)
+func (l *Log) written(segment dotterrecord.Segment, version dotterkey.Version, length int) {
+	l.ring.note(segment.Number, version, length)
 	l.newest = segment.Number
 	l.sequence = segment.Sequence
 }
@@ -230,3 +231,9 @@
 func (l *Log) Newest() int64 {
 	return l.newest
 }
+
+// Bytes returns how many bytes the segments in the ring take; whoever opens the
+// log reads as many.
+func (l *Log) Bytes() int {
+	return l.ring.bytes
+}
--- a/internal/task/dottershardlog/ring.go
+++ b/internal/task/dottershardlog/ring.go
@@ -15,10 +15,12 @@
 	prefix   string
 	size     int64
 	versions []dotterkey.Version
+	lengths  []int // bytes of each value
+	bytes    int   // of all values
 }
 
 func newRing(prefix string, size int64) *ring {
-	return &ring{prefix: prefix, size: size, versions: make([]dotterkey.Version, size)}
+	return &ring{prefix: prefix, size: size, versions: make([]dotterkey.Version, size), lengths: make([]int, size)}
 }
 
 func (r *ring) slot(number int64) int64 {
@@ -33,8 +35,12 @@
 	return r.versions[r.slot(number)]
 }
 
-func (r *ring) setVersion(number int64, version dotterkey.Version) {
-	r.versions[r.slot(number)] = version
+// note takes in the version and length of the value that holds segment number.
+func (r *ring) note(number int64, version dotterkey.Version, length int) {
+	slot := r.slot(number)
+	r.bytes += length - r.lengths[slot]
+	r.lengths[slot] = length
+	r.versions[slot] = version
 }
 
 // read decodes the entries of the ring, notes their versions and returns the
@@ -42,6 +48,8 @@
 func (r *ring) read(entries []dotterkey.Entry) ([]dotterrecord.Segment, error) {
 	segments := make([]dotterrecord.Segment, 0, len(entries))
 	clear(r.versions)
+	clear(r.lengths)
+	r.bytes = 0
 	for _, e := range entries {
 		s, err := dotterrecord.DecodeSegment(e.Value)
 		if err != nil {
@@ -50,7 +58,7 @@
 		if e.Key != r.key(s.Number) {
 			return nil, eris.Wrapf(ErrUnreadable, "%s holds segment %d of a ring of another size", e.Key, s.Number)
 		}
-		r.setVersion(s.Number, e.Version)
+		r.note(s.Number, e.Version, len(e.Value))
 		segments = append(segments, s)
 	}
 	sort.Slice(segments, func(i, j int) bool { return segments[i].Number < segments[j].Number })
