--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -45,6 +45,7 @@
 	offerSize    int // most tasks in the next offer
 	nextBalance  dotterclock.Millis
 	nextSync     dotterclock.Millis
+	drained      drainRate
 	logBytes     int // length of the log after the last write
 	hostsChanged <-chan struct{}
 	dirty        bool
--- a/internal/task/dotterservice/service.go
+++ b/internal/task/dotterservice/service.go
@@ -169,9 +169,21 @@
 	return texts
 }
 
-// RetryAfter returns when a refused submission is worth repeating.
+// RetryAfter returns when a refused submission is worth repeating, as the first
+// of this host's shards to take more says.
 func (s *Service) RetryAfter() dotterclock.Millis {
-	return s.timing.RefusedRetry
+	shortest := dotterclock.Millis(0)
+	for _, name := range s.owned() {
+		owner, ok := s.own(name)
+		if !ok {
+			continue
+		}
+		wait := owner.RetryAfter(context.Background())
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return max(shortest, s.timing.RefusedRetry)
 }
 
 func (s *Service) logger() *zap.Logger {
