--- a/internal/placement/dotterplacer/policy_bench_test.go
+++ b/internal/placement/dotterplacer/policy_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -82,3 +83,42 @@
 	b.ReportMetric(float64(len(m.queue)), "queued")
 	b.ReportMetric(m.longestWait().Seconds(), "waited-s")
 }
+
+// BenchmarkLearning reports how far the learned effects of batch on
+// latency-critical templates are from the true ones, at several times after
+// the start: the mean absolute error over the large effects (above 0.08) as a
+// part of their mean, and the error over the small ones.
+func BenchmarkLearning(b *testing.B) {
+	for _, seconds := range []int{10, 30, 60, 120, 300, 600} {
+		b.Run(fmt.Sprintf("After%ds", seconds), func(b *testing.B) {
+			knowledge := dotterplacer.NewKnowledge()
+			for range b.N {
+				knowledge = dotterplacer.NewKnowledge()
+				m := newSimulation(scenarios[0].scenario, 1, dotterplacer.New(dotterplacer.Options{Knowledge: knowledge}))
+				m.runUntil(seconds * 2)
+				m.reportErrors(b, knowledge)
+			}
+			b.ReportMetric(float64(knowledge.Interference.Len()), "terms")
+		})
+	}
+}
+
+func (m *simulation) reportErrors(b *testing.B, knowledge *dotterplacer.Knowledge) {
+	var large, largeErrors, small, smallErrors float64
+	for v := range criticals {
+		for a := criticals; a < criticals+batches; a++ {
+			truth := m.effect[v][a] * usualLoad
+			names := m.document.Templates
+			learned := knowledge.Interference.Predict(m.now, names[v].Name, names[a].Name, float64(m.sizes[a].MilliCores)/hostCores).Mean
+			if truth > 0.08*usualLoad {
+				large += truth
+				largeErrors += math.Abs(learned - truth)
+				continue
+			}
+			small++
+			smallErrors += math.Abs(learned - truth)
+		}
+	}
+	b.ReportMetric(largeErrors/large, "large-error")
+	b.ReportMetric(smallErrors/small, "small-error")
+}
--- a/internal/placement/dotterplacer/simulation_test.go
+++ b/internal/placement/dotterplacer/simulation_test.go
@@ -27,6 +27,9 @@
 	hostMemory   = 250_000
 )
 
+// usualLoad is the factor on effects on a worker whose cores are about 80% used.
+const usualLoad = 1.3
+
 // scenario is the load and faults of one evaluation.
 type scenario struct {
 	workers      int
@@ -172,7 +175,12 @@
 
 // run plays the scenario to its end.
 func (m *simulation) run() {
-	for m.step = range m.ticks {
+	m.runUntil(m.ticks)
+}
+
+// runUntil plays the scenario on to step end.
+func (m *simulation) runUntil(end int) {
+	for ; m.step < end; m.step++ {
 		m.now += tick
 		m.arrive()
 		for i := range m.running {
