--- a/internal/cluster/dottermember/keeper.go
+++ b/internal/cluster/dottermember/keeper.go
@@ -51,15 +51,16 @@
 	tomb      tomb.Tomb
 	behind    chan struct{} // a peer has adopted a later epoch
 
-	mu      sync.Mutex
-	self    Member
-	record  Record
-	leaving bool
-	seenAt  map[Member]dotterclock.Millis // since when each member is in the record read here
+	mu        sync.Mutex
+	self      Member
+	record    Record
+	leaving   bool
+	seenAt    map[Member]dotterclock.Millis // since when each member is in the record read here
+	addresses []string                      // at which peers are dialled, seeds apart
 }
 
 // NewKeeper returns a keeper for the process and failure domain of mesh, and
-// registers its method with the mesh; it must be called before the mesh starts.
+// registers its methods with the mesh; it must be called before the mesh starts.
 func NewKeeper(
 	settings Settings,
 	store dotterelusher.Store,
@@ -86,6 +87,7 @@
 		seenAt:    map[Member]dotterclock.Millis{},
 	}
 	mesh.Handle(methodRecord, k.answerRecord)
+	mesh.Handle(methodAddresses, k.answerAddresses)
 	mesh.Watch(k.observe)
 	return k
 }
@@ -189,6 +191,9 @@
 		return
 	}
 	err := k.change(ctx, kindJoin, func(r Record) Record {
+		if k.isLeaving() {
+			return r
+		}
 		joined, ok := r.WithJoined(self)
 		if !ok {
 			k.logger.Warn("too many open epochs to join", zap.Int("Open", len(r.Open)))
@@ -200,6 +205,12 @@
 	}
 }
 
+func (k *Keeper) isLeaving() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving
+}
+
 // closeEpochs drops the open epochs that every member has let go of.
 func (k *Keeper) closeEpochs(ctx context.Context) {
 	record := k.Record()
--- a/internal/cluster/dottermember/read.go
+++ b/internal/cluster/dottermember/read.go
@@ -3,27 +3,75 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 )
 
+// methodAddresses is the method with which peers learn whom to dial.
+const methodAddresses = "Membership.Addresses"
+
 // readAll reads the records of all failure domains, adopts this one's, and
-// tells the mesh whom to dial.
+// tells the mesh whom to dial. If the store does not answer, a peer is asked
+// whom to dial, which matters to a process that started without the store.
 func (k *Keeper) readAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
 	entries, _, err := k.store.List(ctx, keyPrefix)
 	if err != nil {
 		k.logger.Debug("reading the records", zap.Error(err))
+		k.askAddresses()
 		return
 	}
 	var addresses []string
 	for _, e := range entries {
 		addresses = append(addresses, k.readEntry(e)...)
 	}
-	k.mesh.SetAddresses(addresses)
+	k.dial(addresses)
+}
+
+// dial makes addresses, and those of this failure domain's record, the ones that
+// the mesh dials.
+func (k *Keeper) dial(addresses []string) {
+	k.mu.Lock()
+	k.addresses = addresses
+	k.mu.Unlock()
+	k.mesh.SetAddresses(k.knownAddresses())
+}
+
+// askAddresses asks a peer, by chance, whom to dial, and keeps what is known.
+func (k *Keeper) askAddresses() {
+	live := k.mesh.Live()
+	if len(live) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), storeTimeout.Duration())
+	defer cancel()
+	var told []string
+	if err := k.mesh.Call(ctx, live[rand.N(len(live))].Name, methodAddresses, nil, &told); err != nil {
+		return
+	}
+	k.dial(append(k.knownAddresses(), told...))
+}
+
+// knownAddresses returns the addresses in the records last read. This failure
+// domain's record may be newer than the last read of all.
+func (k *Keeper) knownAddresses() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known := slices.Clone(k.addresses)
+	for _, m := range k.record.Current.Members {
+		known = append(known, m.Address)
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
+}
+
+func (k *Keeper) answerAddresses(context.Context, string, json.RawMessage) (any, error) {
+	return k.knownAddresses(), nil
 }
 
 // readEntry returns the addresses in a record, and adopts it if it is this
@@ -47,17 +95,25 @@
 // catchUp reads the record because a peer has adopted a later epoch, from the
 // store or, if that fails, from a peer.
 func (k *Keeper) catchUp(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	bounded, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
 	defer cancel()
-	record, _, err := k.read(ctx)
+	record, _, err := k.read(bounded)
 	if err == nil {
 		k.adopt(record)
 		return
 	}
+	k.askRecord(ctx)
+}
+
+// askRecord asks the peers of this failure domain for the record.
+func (k *Keeper) askRecord(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	defer cancel()
 	for _, p := range k.mesh.Live() {
 		if p.FailureDomain != k.domain {
 			continue
 		}
+		var record Record
 		if err := k.mesh.Call(ctx, p.Name, methodRecord, nil, &record); err == nil {
 			k.adopt(record)
 		}
--- a/internal/entry/dotterexchange/exchanger.go
+++ b/internal/entry/dotterexchange/exchanger.go
@@ -61,7 +61,11 @@
 
 // attempts sends the request until there is an answer or nothing more may be done.
 func (e *Exchanger) attempts(ctx context.Context, request dotterrequest.Request, service *dotterservice.Service) (dotterrequest.Answer, *dotterrequest.Refusal) {
-	ticket := dotterservice.Ticket{Rank: request.Template.Rank, Deadline: request.Deadline}
+	ticket := dotterservice.Ticket{
+		Rank:     request.Template.Rank,
+		Deadline: request.Deadline,
+		Target:   request.Template.TargetMillis,
+	}
 	var before *dotterrequest.Refusal
 	for number := 1; ; number++ {
 		grant, err := service.Acquire(ctx, ticket)
@@ -75,13 +79,26 @@
 		}
 		before = combined(before, r.refusal)
 		if number == mostAttempts || !e.mayRepeat(ctx, request, before) {
-			return dotterrequest.Answer{}, before
+			return e.givenUp(ctx, request, before)
 		}
 		e.options.Meter.Retries.Inc()
 		ticket.Exclude = r.server
 	}
 }
 
+// givenUp ends a request that is not sent here again: one that reached no backend
+// server is forwarded, because those of another domain may well be reachable.
+func (e *Exchanger) givenUp(ctx context.Context, request dotterrequest.Request, refusal *dotterrequest.Refusal) (dotterrequest.Answer, *dotterrequest.Refusal) {
+	unreached := refusal.Outcome == dotteroutcome.NotRun && refusal.Reason == dotterrequest.ReasonUnreachable
+	if unreached && !request.Forwarded && ctx.Err() == nil {
+		answer, refused, tried := e.forward(ctx, request, refusal.Reason, true)
+		if tried {
+			return answer, refused
+		}
+	}
+	return dotterrequest.Answer{}, refusal
+}
+
 // mayRepeat reports whether the request may be sent again after refusal, and
 // spends from the budget if so.
 func (e *Exchanger) mayRepeat(ctx context.Context, request dotterrequest.Request, refusal *dotterrequest.Refusal) bool {
--- a/internal/entry/dotterrouter/health.go
+++ b/internal/entry/dotterrouter/health.go
@@ -14,7 +14,7 @@
 	slowFactor        = 2.5 // times the median latency
 	slowFloor         = 3.0 // milliseconds above the median latency
 	firstEjection     = 1 * dotterclock.Second
-	longestEjection   = 20 * dotterclock.Second
+	longestEjection   = 5 * dotterclock.Second
 	samplesToRecover  = 2 // good answers in a row that end a probation
 	forgetfulnessSpan = 10 * dotterclock.Second
 )
@@ -55,9 +55,15 @@
 		return
 	}
 	h.good++
-	if h.ejected && h.good >= samplesToRecover {
+	if !h.ejected {
+		return
+	}
+	if h.good >= samplesToRecover {
 		h.recover(float64(result.Latency))
+		return
 	}
+	// The next probe needs no further wait.
+	h.until = min(h.until, result.At)
 }
 
 func (h *health) fail(result dotterelusher.RouteResult) {
--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -47,23 +47,28 @@
 // fakePool is the platform's side of a test: store, host list and workers, with
 // the truth of what ran.
 type fakePool struct {
-	t     testing.TB
-	clock *dotterclock.Manual
-	store *dottermemory.Store
-
-	mu       sync.Mutex
-	workers  map[string]*fakeWorker // by address
-	hosts    []dotterhost.Host
-	running  map[dottertask.ID]int
-	starts   map[dottertask.ID]int
-	resumed  map[dottertask.ID][]string
-	finished map[dottertask.ID]int
-	overlaps []string
-	overfull []string
-	late     []dotterattempt.Start // starts kept back, to arrive later
-	hold     bool                  // keep the next starts back
-	document dotterconfig.Document
-	allowed  dotterelusher.StartPermission
+	t      testing.TB
+	owners []*Owner // opened by open, which the clock waits for
+	clock  *dotterclock.Manual
+	store  *dottermemory.Store
+
+	mu            sync.Mutex
+	workers       map[string]*fakeWorker // by address
+	hosts         []dotterhost.Host
+	running       map[dottertask.ID]int
+	starts        map[dottertask.ID]int
+	resumed       map[dottertask.ID][]string
+	finished      map[dottertask.ID]int
+	ranCoreMillis int64 // of attempts whose end some worker could tell
+	overlaps      []string
+	overfull      []string
+	late          []dotterattempt.Start // starts kept back, to arrive later
+	hold          bool                  // keep the next starts back
+	ahead, leaped dotterclock.Millis    // the workers' clocks leap at the next start
+	between       bool                  // another owner comes between the two
+	outage        dotterclock.Millis    // the store is down for so long before the takeover
+	document      dotterconfig.Document
+	allowed       dotterelusher.StartPermission
 }
 
 var workerRoom = dotterroom.Room{MilliCores: 4000, MemoryMB: 4000}
@@ -178,6 +183,7 @@
 	if a.status.Phase == dotterattempt.PhaseRunning {
 		a.status.RanMillis = p.clock.Now() - a.started
 		p.running[a.status.Task]--
+		p.ranCoreMillis += a.status.Size.MilliCores * int64(a.status.RanMillis)
 	}
 }
 
@@ -219,7 +225,7 @@
 
 func (p *fakePool) reportOf(w *fakeWorker, shard, refused string) dotterattempt.Report {
 	report := dotterattempt.Report{
-		Worker: w.host.Name, Incarnation: w.host.Incarnation, Clock: p.clock.Now() + 77, Epoch: w.epochs[shard], Refused: refused,
+		Worker: w.host.Name, Incarnation: w.host.Incarnation, Clock: p.clock.Now() + 77 + p.leaped, Epoch: w.epochs[shard], Refused: refused,
 	}
 	for ref, a := range w.attempts {
 		if ref.Shard == shard {
@@ -248,7 +254,8 @@
 	if w.refuse {
 		return p.reportOf(w, start.Shard, "refuses everything"), nil
 	}
-	now := p.clock.Now() + 77
+	now := p.clock.Now() + 77 + p.leaped + p.ahead
+	p.leaped, p.ahead = p.leaped+p.ahead, 0
 	if _, known := w.attempts[start.Ref]; !known && now > start.LatestStart {
 		return p.reportOf(w, start.Shard, "late"), nil
 	}
@@ -360,6 +367,9 @@
 // Targets returns nothing.
 func (noHandoff) Targets(dottershard.Name) []string { return nil }
 
+// Spare returns nothing.
+func (noHandoff) Spare(dottershard.Name) map[string]dotterroom.Room { return nil }
+
 // Adopt refuses.
 func (noHandoff) Adopt(context.Context, string, []dotterrecord.Entry) error { return ErrRefused }
 
@@ -381,9 +391,45 @@
 func (p *fakePool) open(options Options) *Owner {
 	o, err := Open(context.Background(), options)
 	require.NoError(p.t, err)
+	p.owners = append(p.owners, o)
 	return o
 }
 
+const (
+	// settleAsks is how often a loop is asked after each step of the clock, so
+	// that it takes in what has become due however busy the machine is.
+	settleAsks = 3
+	// settleLimit bounds the wait for answers that the fakes owe an owner.
+	settleLimit = 5 * time.Millisecond
+)
+
+// settle lets the owners catch up with the clock.
+func (p *fakePool) settle() {
+	time.Sleep(20 * time.Microsecond)
+	for _, o := range p.owners {
+		started := time.Now()
+		for asks := 0; asks < settleAsks || time.Since(started) < settleLimit; asks++ {
+			idle := false
+			if o.ask(context.Background(), func() { idle = !o.inFlight() }) != nil {
+				break
+			}
+			if idle && asks >= settleAsks {
+				break
+			}
+		}
+	}
+}
+
+// inFlight reports whether an answer of a worker or the store is on its way.
+func (o *Owner) inFlight() bool {
+	for _, w := range o.workers {
+		if w.calling {
+			return true
+		}
+	}
+	return o.writing != nil && !o.writing.uncertain
+}
+
 // pump lets virtual time pass until done holds; it gives up after limit of it.
 func (p *fakePool) pump(limit dotterclock.Millis, done func() bool) {
 	p.t.Helper()
@@ -391,16 +437,16 @@
 		if done() {
 			return
 		}
-		p.pass(10)
+		p.pass(20)
 	}
 	require.True(p.t, done(), "not reached after %d ms", limit)
 }
 
 // pass lets virtual time pass in small steps.
 func (p *fakePool) pass(span dotterclock.Millis) {
-	for ; span > 0; span -= 10 {
-		p.clock.Advance(10)
-		time.Sleep(100 * time.Microsecond)
+	for ; span > 0; span -= 20 {
+		p.clock.Advance(20)
+		p.settle()
 	}
 }
 
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -43,6 +43,9 @@
 	runs         map[dottertask.ID]*run
 	offers       map[string]*offer
 	offerSize    int // most tasks in the next offer
+	nextBalance  dotterclock.Millis
+	nextSync     dotterclock.Millis
+	hostsChanged <-chan struct{}
 	dirty        bool
 	nextPlan     dotterclock.Millis
 	replanAt     dotterclock.Millis
@@ -145,8 +148,12 @@
 	}
 }
 
-// ask runs f on the loop and waits for it to finish.
+// ask runs f on the loop and waits for it to finish; the loop never waits, so
+// that takes no longer than what is queued before f.
 func (o *Owner) ask(ctx context.Context, f func()) error {
+	if ctx.Err() != nil {
+		return eris.Wrap(ErrUnknown, ctx.Err().Error())
+	}
 	done := make(chan struct{})
 	if !o.post(func() { f(); close(done) }) {
 		return ErrDeposed
@@ -156,8 +163,6 @@
 		return nil
 	case <-o.closed:
 		return ErrDeposed
-	case <-ctx.Done():
-		return eris.Wrap(ErrUnknown, ctx.Err().Error())
 	}
 }
 
@@ -188,7 +193,9 @@
 		o.dirty = true
 	}
 	o.permission = o.options.Configuration.StartsAllowed(o.options.Shard.FailureDomain)
-	o.syncWorkers()
+	if o.syncDue(now) {
+		o.syncWorkers()
+	}
 	o.expire(now)
 	o.drain(now)
 	if o.away {
--- a/internal/task/dotterowner/runs.go
+++ b/internal/task/dotterowner/runs.go
@@ -1,10 +1,29 @@
 package dotterowner
 
 import (
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
+// syncInterval is the longest time between two looks at the host list, which
+// also shows racks that the layout has given to the shard since.
+const syncInterval = dotterclock.Second
+
+// syncDue reports whether the host list changed, or wasn't looked at for a while.
+func (o *Owner) syncDue(now dotterclock.Millis) bool {
+	select {
+	case <-o.hostsChanged:
+	default:
+		if now < o.nextSync {
+			return false
+		}
+	}
+	o.nextSync = now + syncInterval
+	o.hostsChanged = o.options.Directory.Changed()
+	return true
+}
+
 // syncWorkers brings the workers in step with the host list.
 func (o *Owner) syncWorkers() {
 	now := o.options.Clock.Now()
@@ -17,12 +36,23 @@
 		o.listWorker(h)
 	}
 	for name, w := range o.workers {
-		if _, ok := listed[name]; ok || !w.listed {
-			continue
+		if _, ok := listed[name]; !ok {
+			o.unlistWorker(w, now)
 		}
+	}
+}
+
+// unlistWorker notes that w is off the host list, and forgets it once it is
+// gone and nothing is bound to it.
+func (o *Owner) unlistWorker(w *worker, now dotterclock.Millis) {
+	if w.listed {
 		w.listed = false
 		w.missingSince = now
 		o.dirty = true
+		return
+	}
+	if len(w.runs) == 0 && !w.calling && w.gone(now, o.limits) {
+		delete(o.workers, w.host.Name)
 	}
 }
 
--- a/internal/task/dotterservice/submit.go
+++ b/internal/task/dotterservice/submit.go
@@ -42,67 +42,14 @@
 	return s.submitParts(ctx, document, tasks)
 }
 
-// newTask returns the task that a submission asks for, without a name.
-func newTask(document dotterconfig.Document, sub dottersubmission.Submission) (dottertask.Task, error) {
-	template, ok := document.Template(sub.Template)
-	if !ok {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: no template %q", sub.Template)
-	}
-	if template.Kind != dotterconfig.KindTask {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Template: %q is not for tasks", sub.Template)
-	}
-	task := dottertask.Task{
-		Team: template.Team, Template: template.Name, Key: sub.Key, Size: template.Size, RunMillis: template.RunMillis,
-		Payload: sub.Payload, Repeatable: template.Repeatable, Urgent: template.Urgent || sub.Urgent,
-		Critical: template.Critical, Rank: template.Rank,
-	}
-	if !sub.Size.IsZero() {
-		task.Size = sub.Size
-	}
-	if sub.RunMillis > 0 {
-		task.RunMillis = sub.RunMillis
-	}
-	if task.Size.IsZero() || !(dotterroom.Room{}).Fits(task.Size) {
-		return dottertask.Task{}, eris.Wrapf(dotterelusher.ErrTaskInvalid, "Size: %s is not a size", task.Size)
-	}
-	return task, nil
-}
-
-// neverFits returns why some task fits no worker of the pool, or "".
-func (s *Service) neverFits(tasks []dottertask.Task) string {
-	var capacities []dotterroom.Room
-	for _, h := range s.options.Directory.Hosts() {
-		if h.Role == dotterhost.RoleWorker {
-			capacities = append(capacities, h.Capacity)
-		}
-	}
-	if len(capacities) == 0 {
-		return ""
-	}
-	for _, t := range tasks {
-		if !fitsAny(t.Size, capacities) {
-			return "Size: no worker of the pool has room for " + t.Size.String()
-		}
-	}
-	return ""
-}
-
-func fitsAny(size dotterroom.Room, capacities []dotterroom.Room) bool {
-	for _, c := range capacities {
-		if size.Fits(c) {
-			return true
-		}
-	}
-	return false
-}
-
 // part is the submissions of one call that go to one shard.
 type part struct {
 	shard   string // empty: any shard
 	indexes []int
 }
 
-func (s *Service) parts(tasks []dottertask.Task) ([]part, error) {
+func (s *Service) parts(document dotterconfig.Document, tasks []dottertask.Task) ([]part, error) {
+	layoutsKnown := s.knowsLayouts(document)
 	shards := s.allShards()
 	byShard := make(map[string]int)
 	var parts []part
@@ -110,8 +57,8 @@
 		shard := ""
 		if t.Key != "" {
 			name, ok := dottershard.ForKey(shards, t.Team, t.Key)
-			if !ok {
-				return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "no shard is known yet")
+			if !ok || !layoutsKnown {
+				return nil, eris.Wrap(dotterelusher.ErrTaskRefused, "not every shard is known yet")
 			}
 			shard = name.String()
 		}
@@ -127,7 +74,7 @@
 }
 
 func (s *Service) submitParts(ctx context.Context, document dotterconfig.Document, tasks []dottertask.Task) ([]dottertask.Task, error) {
-	parts, err := s.parts(tasks)
+	parts, err := s.parts(document, tasks)
 	if err != nil {
 		return nil, err
 	}
@@ -247,12 +194,3 @@
 	}
 	return capacities
 }
-
-func fitAll(tasks []dottertask.Task, capacities []dotterroom.Room) bool {
-	for _, t := range tasks {
-		if !fitsAny(t.Size, capacities) {
-			return false
-		}
-	}
-	return true
-}
