Placement: small shards are not stopped by failures

Cause: found by reading. A task that had failed on every worker of its shard was never placed nor ended; a shard of few workers, all suspected because of one broken template, did nothing but wait for probes.

Change: workers on which a task failed are avoided only while another is left; when more than half of a shard is suspect, suspects get one start at a time. The property test of room now also drains the queue at its end. Ruled out: releasing all suspects (loses four tasks to each of the bad ones again).

--- a/internal/placement/dotterplacer/control_test.go
+++ b/internal/placement/dotterplacer/control_test.go
@@ -151,3 +151,44 @@
 	assert.Zero(t, learned.overfull)
 	assert.Equal(t, learned.slowdowns, again.slowdowns, "the policy isn't deterministic")
 }
+
+func TestAFailedTaskIsTriedElsewhereAndThenAnywhereUntilItEnds(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{})
+	p := newPool(2, workerRoom)
+	id := p.submit(dottertask.Task{Team: "b", Template: "broken", Size: dotterroom.Room{MilliCores: 1000}, Repeatable: true})
+	var tried []string
+	for range 5 {
+		plan := placer.Plan(p.state())
+		p.apply(t, plan)
+		if len(plan.Endings) > 0 {
+			break
+		}
+		require.NotNil(t, p.holder(id), "it is neither placed nor ended after %v", tried)
+		worker := p.holder(id).Task.Worker
+		tried = append(tried, worker)
+		p.now += dotterclock.Second
+		p.end(placer, worker, 0, dotterattempt.PhaseFailed)
+	}
+	require.Len(t, tried, 3)
+	assert.NotEqual(t, tried[0], tried[1])
+	assert.Empty(t, p.queue)
+}
+
+func TestAShardIsNotStoppedByQuarantines(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{})
+	p := newPool(1, workerRoom)
+	for range 3 {
+		p.submit(dottertask.Task{Team: "b", Template: "broken", Size: dotterroom.Room{MilliCores: 1000}})
+	}
+	p.apply(t, placer.Plan(p.state()))
+	for range 3 {
+		p.end(placer, "w0", 0, dotterattempt.PhaseFailed)
+	}
+	require.True(t, placer.Quarantined(p.now, "w0"))
+	p.queue = nil
+	good := p.submit(dottertask.Task{Team: "b", Template: "good", Size: dotterroom.Room{MilliCores: 1000}, Critical: true})
+	p.submit(dottertask.Task{Team: "b", Template: "good", Size: dotterroom.Room{MilliCores: 1000}, Critical: true})
+	p.apply(t, placer.Plan(p.state()))
+	assert.NotNil(t, p.holder(good))
+	assert.Len(t, p.queue, 1, "more than one start at a time on a suspect")
+}
--- a/internal/placement/dotterplacer/place.go
+++ b/internal/placement/dotterplacer/place.go
@@ -9,7 +9,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
-// The reasons of assignments, for the decision log.
+// The reasons of assignments, for the decision log, and of there being none.
 const (
 	reasonLowestCost  = "lowest cost"
 	reasonAfterWait   = "lowest cost, after waiting for a place without harm"
@@ -32,7 +32,7 @@
 	if (r.passed(s) && !r.promised(t.ID)) || !r.shares.Allows(t.Team, size) {
 		return false
 	}
-	avoided := r.placer.blame.Avoided(t.ID)
+	avoided := r.avoided(t.ID)
 	w, reason := r.best(t, size, patient, avoided)
 	if w != nil {
 		r.assign(t, size, w, reason)
@@ -52,6 +52,22 @@
 	return false
 }
 
+// avoided returns the workers on which the task called id has failed, or none
+// when that would leave no usable one to try.
+func (r *round) avoided(id dottertask.ID) []string {
+	failed := r.placer.blame.Avoided(id)
+	if len(failed) == 0 {
+		return nil
+	}
+	for i := range r.workers {
+		w := &r.workers[i]
+		if w.usable && !w.probe && !slices.Contains(failed, w.host.Name) {
+			return failed
+		}
+	}
+	return nil
+}
+
 // patience returns by how much a batch task is overtaken before it is placed
 // where it does harm: longer when what is placed has itself waited long, since
 // in an overload there is harmless work to do instead.
--- a/internal/placement/dotterplacer/room_test.go
+++ b/internal/placement/dotterplacer/room_test.go
@@ -204,6 +204,25 @@
 			}
 		}
 	}
+	p.drain(t, placer)
+}
+
+// drain lets everything that is started be done, and checks that nothing stays queued.
+func (p *pool) drain(t require.TestingT, placer *dotterplacer.Placer) {
+	for i := range p.usable {
+		p.usable[i] = true
+	}
+	for round := 0; round < 100 && len(p.queue) > 0; round++ {
+		p.apply(t, placer.Plan(p.state()))
+		p.now += 30 * dotterclock.Second
+		p.finishEvictions(placer)
+		for _, h := range p.hosts {
+			for len(p.holders[h.Name]) > 0 {
+				p.end(placer, h.Name, 0, dotterattempt.PhaseDone)
+			}
+		}
+	}
+	assert.Empty(t, p.queue, "tasks that fit are never placed")
 }
 
 func TestPlansNeverOverfill(t *testing.T) {
--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -67,12 +67,33 @@
 	for _, w := range state.Workers {
 		r.addWorker(w)
 	}
+	r.boundQuarantines()
 	for i := range r.workers {
 		r.predict(&r.workers[i])
 	}
 	return r
 }
 
+// boundQuarantines lets suspects take one start at a time when they are more
+// than half of the shard: then the fault is rather with the tasks, and a shard
+// in which everything waits for probes would do nothing.
+func (r *round) boundQuarantines() {
+	suspects := 0
+	for i := range r.workers {
+		if r.workers[i].suspect {
+			suspects++
+		}
+	}
+	if 2*suspects <= len(r.workers) {
+		return
+	}
+	for i := range r.workers {
+		w := &r.workers[i]
+		w.usable = w.usable || w.suspect
+		w.probe = false
+	}
+}
+
 // teamUse returns what each team holds: as reported for the pool, and at least
 // what it holds in this shard.
 func teamUse(state dotterplan.State) map[string]dotterroom.Room {
@@ -96,6 +117,7 @@
 		host:    from.Host,
 		holders: from.Holders,
 		usable:  from.Usable && (!verdict.Quarantined || verdict.Probe),
+		suspect: from.Usable && verdict.Quarantined,
 		probe:   verdict.Quarantined,
 		starts:  verdict.Unconfirmed,
 		free:    from.Host.Capacity,
--- a/internal/placement/dotterplacer/worker.go
+++ b/internal/placement/dotterplacer/worker.go
@@ -13,6 +13,7 @@
 	host        dotterhost.Host
 	holders     []dotterplan.Holder
 	usable      bool
+	suspect     bool            // usable but for a quarantine
 	probe       bool            // quarantined, and due for one task
 	starts      int             // starts that may still be made before one is confirmed
 	free        dotterroom.Room // room that nothing holds
