Testing: long tasks all run before the failure comes

Cause: placement starts few tasks at a time until they get on, so most long tasks started after the failure and weren't hit by it. Change: the long cases wait for all twelve starts.

--- a/internal/testing/dotterfailure/tasks_test.go
+++ b/internal/testing/dotterfailure/tasks_test.go
@@ -135,7 +135,7 @@
 	for name, fail := range taskFailures {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			endOnce(t, fail, 60, 500)
+			endOnce(t, fail, 60, 500, 1)
 		})
 	}
 }
@@ -156,20 +156,20 @@
 	for _, name := range longRunCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			endOnce(t, taskFailures[name], 12, 7000)
+			endOnce(t, taskFailures[name], 8, 9000, 12)
 		})
 	}
 }
 
-// endOnce submits count repeatable tasks, and half as many that are not, lets
-// them start, brings the failure about, and judges how they ended.
-func endOnce(t *testing.T, fail taskFailure, count int, run dotterclock.Millis) {
+// endOnce submits count repeatable tasks, and half as many that are not, waits
+// for a number of starts, brings the failure about, and judges how they ended.
+func endOnce(t *testing.T, fail taskFailure, count int, run dotterclock.Millis, starts int) {
 	t.Helper()
 	c := dotterharness.NewCluster(t, twoDomains())
 	timed := func(s *dottersubmission.Submission) { s.RunMillis = run }
 	repeatable := submit(t, c, c.Host("a", 0), "reweighting", count, timed)
 	once := submit(t, c, c.Host("a", 0), "settlement", count/2, timed)
-	c.Await("a task runs", func() bool { return len(c.Truth().Runs) > 0 })
+	c.Await("tasks run", func() bool { return len(c.Truth().Runs) >= starts })
 	fail.run(c, c.Truth().Runs[0].FailureDomain)
 	survivors := c.Hosts
 	ended := awaitFinal(t, c, repeatable, survivors...)
