--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -1,6 +1,9 @@
 package dotterrevision
 
 import (
+	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,27 +11,31 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/cluster/dotterpeer"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
 const look = 5 * time.Millisecond
 
 type node struct {
-	mesh   *dotterpeer.Mesh
-	holder *Holder
+	mesh     *dotterpeer.Mesh
+	holder   *Holder
+	registry *prometheus.Registry
 }
 
-func startNode(t testing.TB, name, domain string, store *dottermemory.Store, seeds ...string) *node {
+func startNode(t testing.TB, name, domain string, store dotterelusher.Store, seeds ...string) *node {
 	t.Helper()
 	clock := dotterclock.NewSystem()
 	registry := prometheus.NewRegistry()
 	identity := dotterpeer.Identity{Name: name, FailureDomain: domain, Incarnation: 1, Address: "127.0.0.1:0"}
 	mesh, err := dotterpeer.New(dotterpeer.Settings{Identity: identity, Seeds: seeds}, clock, zap.NewNop(), dotterpeer.NewMetrics(registry))
 	require.NoError(t, err)
-	n := &node{mesh: mesh, holder: NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))}
+	n := &node{mesh: mesh, registry: registry}
+	n.holder = NewHolder(store, mesh, clock, zap.NewNop(), NewMetrics(registry))
 	n.holder.Start()
 	mesh.Start()
 	t.Cleanup(func() {
@@ -139,3 +146,98 @@
 		return !p.Allowed && p.Overridable
 	}, patience, look, "cut off from a domain that may know of a change")
 }
+
+func TestStampProvesOnlyItsOwnRevision(t *testing.T) {
+	tests := map[string]struct {
+		stamp  int64
+		proves bool
+	}{
+		"Same":   {stamp: 2, proves: true},
+		"Ahead":  {stamp: 3},
+		"Behind": {stamp: 1},
+		"None":   {stamp: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Holder{document: dotterconfig.Document{Revision: 2}}
+			require.Equal(t, test.proves, h.matches(stamp{Revision: test.stamp}))
+		})
+	}
+}
+
+func TestStampIsRaisedBeforeTheDocument(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	refused := errors.New("refused")
+	editor := NewEditor(store, dotterclock.NewSystem(), func(dotterconfig.Document) error { return refused })
+	_, err := editor.Edit(t.Context(), setDomain("invalid", "a", false))
+	require.ErrorIs(t, err, ErrEditInvalid)
+	s, _, err := readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.Zero(t, s.Revision, "an edit that is refused raises nothing")
+
+	edit(t, store, setDomain("one", "a", false))
+	require.NoError(t, raiseStamp(t.Context(), store, 7))
+	require.NoError(t, raiseStamp(t.Context(), store, 3))
+	s, _, err = readStamp(t.Context(), store)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, s.Revision, "a stamp is never lowered")
+
+	n := startNode(t, "h1", "a", store)
+	require.Eventually(t, n.allowed("a"), patience, look, "behind the stamp of an edit given up, the document is read")
+}
+
+// cutStore is a store that one process can be cut off from.
+type cutStore struct {
+	*dottermemory.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (dotterkey.Entry, error) {
+	if s.cut.Load() {
+		return dotterkey.Entry{}, dotterelusher.ErrStoreUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) ([]dotterkey.Entry, dotterkey.Revision, error) {
+	if s.cut.Load() {
+		return nil, 0, dotterelusher.ErrStoreUnavailable
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Watch stays silent while the process is cut off.
+func (s *cutStore) Watch(ctx context.Context, prefix string, after dotterkey.Revision) (dotterkey.Changes, error) {
+	changes, err := s.Store.Watch(ctx, prefix, after)
+	if s.cut.Load() {
+		return dotterkey.Changes{}, dotterelusher.ErrStoreUnavailable
+	}
+	return changes, err
+}
+
+func TestCutOffFromTheStoreIsProvedByPeers(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	edit(t, store, setDomain("one", "a", false))
+	edit(t, store, setDomain("two", "b", false))
+	own := &cutStore{Store: store}
+	a := startNode(t, "a1", "a", own)
+	startNode(t, "b1", "b", store, a.address())
+	require.Eventually(t, a.has(2), patience, look)
+
+	own.cut.Store(true)
+	cutAt := a.holder.clock.Now()
+	provedSince := func() bool {
+		a.holder.mu.Lock()
+		defer a.holder.mu.Unlock()
+		return a.holder.fresh.provedAt > cutAt+EvidenceLimit
+	}
+	require.Eventually(t, provedSince, patience, look, "b still reads the store")
+	require.Eventually(t, a.allowed("a"), patience, look)
+
+	edit(t, store, setDomain("three", "a", true))
+	require.Eventually(t, func() bool {
+		p := a.holder.StartsAllowed("a")
+		return !p.Allowed && !p.Overridable
+	}, patience, look, "the change comes by b")
+	require.EqualValues(t, 3, a.holder.revision())
+}
--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -117,6 +117,7 @@
 			defer func() { require.NoError(t, c.Close()) }()
 			_, err := exchangeOnce(tc.ctx, c, dotterhost.Host{Name: "b1", Address: tc.address}, "r1")
 			require.ErrorIs(t, err, dotterelusher.ErrBackendNotSent)
+			assert.Equal(t, name == "no connection", errors.Is(err, ErrNoConnection))
 		})
 	}
 	assert.Zero(t, live.requests.Load())
@@ -186,6 +187,44 @@
 	require.Eventually(t, func() bool { return permits.Connections("b1") == 0 }, patience, tick)
 }
 
+func TestSlotOfBrokenRequestIsKeptUnlessTheServerClosed(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		reset  bool
+		kept   bool
+	}{
+		"closed":         {"", false, false},
+		"closed half":    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false, false},
+		"reset":          {"", true, true},
+		"not understood": {"220 mail.example ready\r\n\r\n", false, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScripted(t, func(c net.Conn, _ *http.Request, _ int64) {
+				_, _ = io.WriteString(c, tc.answer)
+				if tc.reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			c, permits := client(t, Settings{LateMillis: 60 * dotterclock.Second})
+			_, err := exchangeOnce(soon(t, patience), c, s.host(), "r1")
+			var lost *LostError
+			require.ErrorAs(t, err, &lost)
+			assert.Equal(t, 1, permits.Connections("b1"), "the connection is kept in any case")
+			if !tc.kept {
+				<-lost.Ended
+				return
+			}
+			select {
+			case <-lost.Ended:
+				t.Error("the slot counts as free")
+			case <-time.After(50 * time.Millisecond):
+			}
+		})
+	}
+}
+
 func TestServerNeverHasMoreConnectionsThanPermits(t *testing.T) {
 	var most, now int
 	var mu sync.Mutex
@@ -220,6 +259,25 @@
 	assert.EqualValues(t, 12*20, s.requests.Load())
 }
 
+// TestLostConnectionKeepsItsPermit: the server may not know yet that the
+// connection is gone, so no other takes its place before it is closed.
+func TestLostConnectionKeepsItsPermit(t *testing.T) {
+	release := make(chan struct{})
+	s := newScripted(t, func(net.Conn, *http.Request, int64) { <-release })
+	defer close(release)
+	c := New(dotterfake.NewPermits(8, 1), dotterclock.NewSystem(), Settings{LateMillis: 60 * dotterclock.Second, DialMillis: 20})
+	_, err := exchangeOnce(soon(t, 20*time.Millisecond), c, s.host(), "r1")
+	require.ErrorIs(t, err, dotterelusher.ErrBackendIndeterminate)
+	for range 3 {
+		_, err = exchangeOnce(soon(t, patience), c, s.host(), "r2")
+		require.ErrorIs(t, err, dotterelusher.ErrBackendNotSent)
+	}
+	assert.EqualValues(t, 1, s.accepted.Load())
+	_ = s.listener.Close()
+	s.closeAll()
+	require.NoError(t, c.Close())
+}
+
 func TestWithdrawnConnectionsAreClosed(t *testing.T) {
 	release := make(chan struct{})
 	s := newScripted(t, func(c net.Conn, _ *http.Request, number int64) {
--- a/internal/entry/dotterproxy/outcome_test.go
+++ b/internal/entry/dotterproxy/outcome_test.go
@@ -1,6 +1,7 @@
 package dotterproxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,9 +15,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrequest"
+	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrouter"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
+	"github.com/dotterelusher/dotterelusher/internal/tool/dotterfake"
 )
 
 const tick = 2 * time.Millisecond
@@ -132,6 +136,38 @@
 	}
 }
 
+// TestWhatMustNotRunTwiceRunsOnce has every server break off its answers, and
+// plenty of budget.
+func TestWhatMustNotRunTwiceRunsOnce(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		headers []string
+	}{
+		"template not repeatable": {"clearance/1", nil},
+		"caller forbids it":       {"refresh/1", []string{dotterrequest.HeaderRepeatable, "false"}},
+		"key":                     {"refresh/1", []string{dotterrequest.HeaderKey, "k"}},
+		"key, store away":         {"allowed/1", []string{dotterrequest.HeaderKey, "k"}},
+		"hedged template":         {"hedged/1", []string{dotterrequest.HeaderRepeatable, "false"}},
+	}
+	for name, tc := range tests {
+		for fault, faulty := range map[string]http.HandlerFunc{"half": half, "abort": abort} {
+			t.Run(name+" "+fault, func(t *testing.T) {
+				var runs atomic.Int64
+				count := func(w http.ResponseWriter, r *http.Request) {
+					runs.Add(1)
+					faulty(w, r)
+				}
+				template, _, _ := strings.Cut(tc.path, "/")
+				f := start(t, manyRetries, backendHost("b1", backend(t, count), template), backendHost("b2", backend(t, count), template))
+				f.claims.SetAway(name == "key, store away")
+				got := f.call(t, http.MethodPost, tc.path, "x", tc.headers...)
+				assert.Equal(t, dotteroutcome.Unknown, got.outcome)
+				assert.EqualValues(t, 1, runs.Load())
+			})
+		}
+	}
+}
+
 // TestLostThenRefusedIsUnknown: once a sending may have run, a later refusal
 // must not make the outcome NotRun.
 func TestLostThenRefusedIsUnknown(t *testing.T) {
@@ -270,6 +306,41 @@
 	assert.EqualValues(t, 1, onLeaving.Load())
 }
 
+// TestOwnLimitsDontEjectAServer: a host that has no connection left must not
+// take the server for a dead one.
+func TestOwnLimitsDontEjectAServer(t *testing.T) {
+	release := make(chan struct{})
+	var runs atomic.Int64
+	address := backend(t, func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			<-release
+		}
+		fine(w, r)
+	})
+	router := dotterrouter.NewPowerOfTwo(1)
+	permits := dotterfake.NewPermits(8, 1)
+	f := start(t, func(o *Options) {
+		o.Limits.RetryPercent = 0
+		o.Permits = permits
+		o.Connections.DialMillis = 20
+		o.NewRouter = func(template string) dotterelusher.Router {
+			if template == "clearance" {
+				return router
+			}
+			return dotterrouter.NewRandom(1)
+		}
+	}, backendHost("b1", address, "clearance"))
+	first := make(chan answer, 1)
+	go func() { first <- f.call(t, http.MethodPost, "clearance/1", "") }()
+	require.Eventually(t, func() bool { return runs.Load() == 1 }, patience, tick)
+	got := f.call(t, http.MethodPost, "clearance/1", "")
+	assert.Equal(t, dotterrequest.ReasonUnreachable, got.reason(t))
+	close(release)
+	assert.Equal(t, dotteroutcome.Done, (<-first).outcome)
+	require.NoError(t, f.proxy.Drain(context.Background()))
+	assert.False(t, router.Ejected("b1"))
+}
+
 func TestListAndConfigurationTakeServersOut(t *testing.T) {
 	tests := map[string]func(f *fixture, h dotterhost.Host){
 		"leaving in the list": func(f *fixture, h dotterhost.Host) {
@@ -301,6 +372,7 @@
 			before := runs.Load()
 			for range 10 {
 				f.call(t, http.MethodPost, "clearance/1", "")
+				f.call(t, http.MethodPost, "clearance/1", "", dotterrequest.HeaderHop, dotterrequest.HopForwarded)
 			}
 			assert.Equal(t, before, runs.Load())
 		})
