Share what is learned, date usage by the owner's clock, own limits are no outage

Changes: one Knowledge for each process; Report.UsageAt; ErrStoreNotAsked; the breaker's longest pause is 0.5 s, since its refusals do count as evidence and must be fresh; GC at 400% under a memory limit of 56 MB; 40 store writes a second by default (eight hosts: 320). Ruled out: breaker refusals as no evidence either: in a real outage only one call in a pause is sent, mostly not the one that proves, and starts would stop. Seen failing: TestOwnRateLimitIsNoOutage/held_back without change 3.

--- a/cmd/dotterelusherd/main.go
+++ b/cmd/dotterelusherd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -16,6 +17,13 @@
 	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
 )
 
+// Limits of the Go runtime: collecting garbage less often shortens the tail of
+// request latencies, and the memory limit keeps the process small all the same.
+const (
+	garbagePercent = 400
+	memoryLimit    = 56 << 20 // bytes
+)
+
 // Exit codes.
 const (
 	exitFailed = 1 // the daemon could not start, or not finish its shutdown
@@ -52,6 +60,8 @@
 }
 
 func run(settings dottersettings.Settings) error {
+	debug.SetGCPercent(garbagePercent)
+	debug.SetMemoryLimit(memoryLimit)
 	logger, decisions, flush := dotterlog.New(settings.Log.Level, settings.Host)
 	defer flush()
 	daemon, err := dotterdaemon.New(settings, logger, decisions)
--- a/internal/cluster/dotterrevision/holder_test.go
+++ b/internal/cluster/dotterrevision/holder_test.go
@@ -241,3 +241,41 @@
 	}, patience, look, "the change comes by b")
 	require.EqualValues(t, 3, a.holder.revision())
 }
+
+// heldBack is a store that this process's own rate limit never lets it ask.
+type heldBack struct {
+	dotterelusher.Store
+}
+
+func (heldBack) Get(context.Context, string) (dotterkey.Entry, error) {
+	return dotterkey.Entry{}, errors.Join(dotterelusher.ErrStoreUnavailable, dotterelusher.ErrStoreNotAsked)
+}
+
+// TestOwnRateLimitIsNoOutage wants a process that may not ask the store to bear
+// no witness that the store is away.
+func TestOwnRateLimitIsNoOutage(t *testing.T) {
+	store := dottermemory.New(dotterclock.NewSystem())
+	tests := map[string]struct {
+		store   dotterelusher.Store
+		witness bool
+	}{
+		"held back": {store: heldBack{store}, witness: false},
+		"away":      {store: away{store}, witness: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &Holder{store: tc.store, clock: dotterclock.NewManual(1000), metrics: NewMetrics(prometheus.NewRegistry())}
+			require.False(t, h.readDocument(t.Context(), 1000))
+			require.Equal(t, tc.witness, h.fresh.evidence(1000, 1).OutageAge != noAge)
+		})
+	}
+}
+
+// away is a store that gives no answer.
+type away struct {
+	dotterelusher.Store
+}
+
+func (away) Get(context.Context, string) (dotterkey.Entry, error) {
+	return dotterkey.Entry{}, dotterelusher.ErrStoreUnavailable
+}
--- a/internal/cluster/dotterrevision/prove.go
+++ b/internal/cluster/dotterrevision/prove.go
@@ -77,7 +77,7 @@
 	if sentAt-h.documentReadAt < documentPeriod {
 		s, _, err := readStamp(ctx, h.store)
 		if err != nil {
-			return h.noteFailed(sentAt)
+			return h.noteFailed(sentAt, err)
 		}
 		if h.matches(s) {
 			return h.noteReached(sentAt, true)
@@ -96,15 +96,19 @@
 func (h *Holder) readDocument(ctx context.Context, sentAt dotterclock.Millis) bool {
 	e, err := h.store.Get(ctx, dotterconfig.Key)
 	if err != nil && !errors.Is(err, dotterelusher.ErrStoreNotFound) {
-		return h.noteFailed(sentAt)
+		return h.noteFailed(sentAt, err)
 	}
 	h.documentReadAt = sentAt
 	return h.noteReached(sentAt, err == nil && h.takeEntry(e, sourceRead))
 }
 
-// noteFailed takes in that the store did not answer a read, and returns false.
-func (h *Holder) noteFailed(sentAt dotterclock.Millis) bool {
+// noteFailed takes in that the store did not answer a read, and returns false. A
+// read that was never sent is no evidence of an outage.
+func (h *Holder) noteFailed(sentAt dotterclock.Millis, err error) bool {
 	h.metrics.reads.WithLabelValues("Store", "Failed").Inc()
+	if errors.Is(err, dotterelusher.ErrStoreNotAsked) {
+		return false
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.fresh.failed(sentAt)
--- a/internal/model/dotterattempt/report.go
+++ b/internal/model/dotterattempt/report.go
@@ -48,3 +48,14 @@
 	Attempts    []Status           `json:",omitempty"`
 	Usage       []Usage            `json:",omitempty"`
 }
+
+// UsageAt returns the usage with instants on the clock of a reader for whom the
+// report was made at now: workers' own clocks may be far off.
+func (r Report) UsageAt(now dotterclock.Millis) []Usage {
+	shifted := make([]Usage, len(r.Usage))
+	for i, u := range r.Usage {
+		u.At += now - r.Clock
+		shifted[i] = u
+	}
+	return shifted
+}
--- a/internal/platform/dotterstore/breaker.go
+++ b/internal/platform/dotterstore/breaker.go
@@ -8,11 +8,12 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 )
 
-// Bounds of the circuit breaker.
+// Bounds of the circuit breaker. The longest pause is short, because a refusal by
+// the breaker is taken for news that the store is away, and such news must be fresh.
 const (
 	breakerFailures                    = 5   // unanswered calls in a row that open it
 	breakerShortest dotterclock.Millis = 200 // first pause
-	breakerLongest                     = 2 * dotterclock.Second
+	breakerLongest  dotterclock.Millis = 500
 )
 
 // breaker refuses calls for a while after several in a row went unanswered.
--- a/internal/platform/dotterstore/client.go
+++ b/internal/platform/dotterstore/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -131,11 +132,15 @@
 	bounded, cancel := context.WithTimeout(ctx, c.limits.Timeout.Duration())
 	defer cancel()
 	if err := bucket.Wait(bounded); err != nil {
-		return eris.Wrap(dotterelusher.ErrStoreUnavailable, err.Error())
+		return notAsked(err.Error())
 	}
 	return nil
 }
 
+func notAsked(reason string) error {
+	return fmt.Errorf("%w: %w: %s", dotterelusher.ErrStoreUnavailable, dotterelusher.ErrStoreNotAsked, reason)
+}
+
 func (c *Client) exchange(ctx context.Context, path string, call dotterwire.StoreCall, timeout dotterclock.Millis) (dotterwire.StoreAnswer, error) {
 	bounded, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
--- a/internal/server/dotterdaemon/tasks.go
+++ b/internal/server/dotterdaemon/tasks.go
@@ -10,6 +10,7 @@
 
 // newTasks returns the task service, which registers its methods with the mesh.
 func (d *Daemon) newTasks() *dotterservice.Service {
+	knowledge := dotterplacer.NewKnowledge()
 	limits := dotterowner.DefaultLimits()
 	limits.Lease = d.settings.Timing.WorkerLeaseMillis
 	limits.ListLag = d.settings.Timing.HostListLagMillis
@@ -26,10 +27,12 @@
 		Directory:     d.cluster.directory,
 		Workers:       dotterworker.New(d.settings.Host, dotterworker.DefaultTimeout),
 		Clock:         d.clock,
-		NewPlacer:     func() dotterelusher.Placer { return dotterplacer.New(dotterplacer.Options{}) },
-		Logger:        d.logger,
-		Registerer:    d.registry,
-		Limits:        limits,
-		Timing:        timing,
+		NewPlacer: func() dotterelusher.Placer {
+			return dotterplacer.New(dotterplacer.Options{Knowledge: knowledge})
+		},
+		Logger:     d.logger,
+		Registerer: d.registry,
+		Limits:     limits,
+		Timing:     timing,
 	})
 }
--- a/internal/server/dottersettings/limits.go
+++ b/internal/server/dottersettings/limits.go
@@ -16,7 +16,7 @@
 		MaxBodyKB:            1024,
 		MaxQueue:             256,
 		StoreReadsPerSecond:  80,
-		StoreWritesPerSecond: 20,
+		StoreWritesPerSecond: 40,
 		MaxQueuedTasks:       20000,
 	}
 }
--- a/internal/task/dotterowner/calls.go
+++ b/internal/task/dotterowner/calls.go
@@ -98,7 +98,7 @@
 	if len(report.Usage) == 0 {
 		return
 	}
-	o.options.Placer.Observe(now, w.host.Name, report.Usage)
+	o.options.Placer.Observe(now, w.host.Name, report.UsageAt(now))
 	for _, u := range report.Usage {
 		r, ok := w.runs[u.Task]
 		if ok && r.attempt == u.Attempt {
--- a/store.go
+++ b/store.go
@@ -15,7 +15,10 @@
 	ErrStoreConflict      = eris.New("store: the key is at another version")
 	ErrStoreUnavailable   = eris.New("store: unavailable, the call took no effect")
 	ErrStoreIndeterminate = eris.New("store: no answer, the call may have taken effect")
-	ErrStoreLeaseLapsed   = eris.New("store: the lease has lapsed")
+	// ErrStoreNotAsked comes with ErrStoreUnavailable when this process's own rate
+	// limit held the call back, which tells nothing about the store.
+	ErrStoreNotAsked    = eris.New("store: not asked, held back by this process's rate limit")
+	ErrStoreLeaseLapsed = eris.New("store: the lease has lapsed")
 )
 
 // Store is the platform's key-value service.
