--- /dev/null
+++ b/internal/testing/dotterdocs/doc.go
@@ -0,0 +1,3 @@
+// Package dotterdocs holds the pages to the code: each test that docs/PROOF.md
+// names must exist.
+package dotterdocs
