--- a/spec/attempts.pml
+++ b/spec/attempts.pml
@@ -1,7 +1,8 @@
-// variant: NONE
+// variant: GOOD
 // variant: STARTED_BEFORE_LOGGED expect-fail
 // variant: SEGMENTS_RECREATED expect-fail
 // variant: TAKEOVER_IGNORES_UNREACHABLE expect-fail
+// variant: LOST_ANSWER_TAKEN_AS_WRITTEN expect-fail
 //
 // The attempt log of one shard (internal/task): two owners, one repeatable task,
 // two workers, a ring of two segments.
@@ -10,8 +11,8 @@
 // the version that the writer read there; takeover at any moment, also while
 // the other owner is paused between any two steps (each owner is a process that
 // the other may overtake anywhere, and one that wakes goes on with what it
-// had read); answers of the store lost after the write took effect, resolved by
-// reading back; attempts named in the log before they start; starts under way
+// had read); answers of the store lost after the write took effect or without
+// effect, resolved by reading back; attempts named in the log before they start; starts under way
 // for any time, or lost, and refused by epoch; workers cut off from one owner
 // and not from the other; inventory at a raised epoch; ends kept by the worker
 // until they are logged.
@@ -121,6 +122,8 @@
 			:: version[k] = ring[k].version; number++; ok = true
 			:: ok = false; lost = true       /* the answer is lost */
 			fi
+		:: number < MAXNUMBER && ring[k].version == version[k] ->
+			ok = false; lost = true          /* no effect and no answer */
 		:: number < MAXNUMBER && ring[k].version != version[k] -> ok = false
 #endif
 		fi
@@ -130,10 +133,16 @@
 		/* Read back and compare the writer and the number. */
 		atomic {
 			lost = false;
+#ifdef LOST_ANSWER_TAKEN_AS_WRITTEN
+			version[k]++; number++; ok = true;
+#endif
 			if
-			:: ring[k].writer == me && ring[k].epoch == epoch && ring[k].number == number + 1 ->
+#ifdef LOST_ANSWER_TAKEN_AS_WRITTEN
+			:: ok -> skip
+#endif
+			:: !ok && ring[k].writer == me && ring[k].epoch == epoch && ring[k].number == number + 1 ->
 				version[k] = ring[k].version; number++; ok = true
-			:: else -> ok = false
+			:: else -> skip
 			fi
 		}
 	:: else -> skip
