Name the millisecond, and give the two dotterservice packages two names

Cause: two packages were called dotterservice (entry and task), and spans were written as 100 * dotterclock.Millis(1). Change: internal/task/dottertasks; dotterclock.Millisecond. Conclusion: no behaviour changed; tests of the packages pass.

--- a/internal/base/dotterclock/millis.go
+++ b/internal/base/dotterclock/millis.go
@@ -5,8 +5,11 @@
 // Millis is an instant (milliseconds since the Unix epoch) or a span in milliseconds.
 type Millis int64
 
-// Second is one second in Millis.
-const Second Millis = 1000
+// Units of Millis.
+const (
+	Millisecond Millis = 1
+	Second             = 1000 * Millisecond
+)
 
 // Duration returns m as a time.Duration, for calls into the standard library.
 func (m Millis) Duration() time.Duration {
--- a/internal/cluster/dottermember/change.go
+++ b/internal/cluster/dottermember/change.go
@@ -27,7 +27,7 @@
 
 const (
 	// storeRetry is the mean wait before a change is tried again.
-	storeRetry = 50 * dotterclock.Millis(1)
+	storeRetry = 50 * dotterclock.Millisecond
 	// changeAttempts is how often one change is tried before the next tick has its turn.
 	changeAttempts = 8
 )
--- a/internal/cluster/dottermember/keeper.go
+++ b/internal/cluster/dottermember/keeper.go
@@ -30,7 +30,7 @@
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 2 * dotterclock.Second
 	// drainPeriod is the span between two looks at whether this process is drained.
-	drainPeriod = 50 * dotterclock.Millis(1)
+	drainPeriod = 50 * dotterclock.Millisecond
 )
 
 // ErrLeaveUnfinished means that the process could not leave its record in time;
--- a/internal/cluster/dotterpeer/mesh.go
+++ b/internal/cluster/dotterpeer/mesh.go
@@ -31,7 +31,7 @@
 	// failure domain may cost, sent and received, and those to others again.
 	beatBudget = 3500
 	// dialPeriod is the span between two looks at which addresses are to be dialled.
-	dialPeriod = 100 * dotterclock.Millis(1)
+	dialPeriod = 100 * dotterclock.Millisecond
 	// handshakeTimeout bounds dialling and the exchange of identities.
 	handshakeTimeout = 2 * dotterclock.Second
 	// linkLimit is the most links at a time, and the most addresses dialled.
--- a/internal/cluster/dotterpeer/target.go
+++ b/internal/cluster/dotterpeer/target.go
@@ -8,7 +8,7 @@
 
 // Backoff of dialling one address.
 const (
-	firstBackoff = 200 * dotterclock.Millis(1)
+	firstBackoff = 200 * dotterclock.Millisecond
 	lastBackoff  = 5 * dotterclock.Second
 )
 
--- a/internal/cluster/dotterrevision/editor.go
+++ b/internal/cluster/dotterrevision/editor.go
@@ -28,7 +28,7 @@
 
 // Spans of retrying an edit.
 const (
-	firstEditRetry = 20 * dotterclock.Millis(1)
+	firstEditRetry = 20 * dotterclock.Millisecond
 	lastEditRetry  = dotterclock.Second
 )
 
--- a/internal/cluster/dotterrevision/fetch.go
+++ b/internal/cluster/dotterrevision/fetch.go
@@ -14,7 +14,7 @@
 // Spans of fetching a revision from a peer.
 const (
 	// fetchDelay leaves the watch the time to bring a revision first.
-	fetchDelay = 100 * dotterclock.Millis(1)
+	fetchDelay = 100 * dotterclock.Millisecond
 	// fetchTimeout bounds one fetch.
 	fetchTimeout = 2 * dotterclock.Second
 )
--- a/internal/cluster/dotterrevision/prove.go
+++ b/internal/cluster/dotterrevision/prove.go
@@ -14,13 +14,13 @@
 // Spans of proving the document current.
 const (
 	// provePeriod is the span between two proofs.
-	provePeriod = 800 * dotterclock.Millis(1)
+	provePeriod = 800 * dotterclock.Millisecond
 	// documentPeriod is the span after which the document itself is read again.
 	documentPeriod = 30 * dotterclock.Second
 	// readerAge is the age up to which the proof of the domain's reader is good enough.
-	readerAge = 1200 * dotterclock.Millis(1)
+	readerAge = 1200 * dotterclock.Millisecond
 	// askTimeout bounds one question to a peer.
-	askTimeout = 500 * dotterclock.Millis(1)
+	askTimeout = 500 * dotterclock.Millisecond
 	// readTimeout bounds one read of the store.
 	readTimeout = dotterclock.Second
 )
--- a/internal/cluster/dotterrevision/watch.go
+++ b/internal/cluster/dotterrevision/watch.go
@@ -16,7 +16,7 @@
 	// watchTimeout ends a wait that the platform does not end.
 	watchTimeout = 30 * dotterclock.Second
 	// firstRetry and lastRetry bound the backoff after an error.
-	firstRetry = 100 * dotterclock.Millis(1)
+	firstRetry = 100 * dotterclock.Millisecond
 	lastRetry  = 5 * dotterclock.Second
 )
 
--- a/internal/entry/dotterclaims/claims.go
+++ b/internal/entry/dotterclaims/claims.go
@@ -25,7 +25,7 @@
 	windowMillis  = 60 * 60 * dotterclock.Second
 	resolveTries  = 3
 	longestKey    = 128 // bytes of a key that are kept readable in its store key
-	retryMillis   = 100 * dotterclock.Millis(1)
+	retryMillis   = 100 * dotterclock.Millisecond
 	completeTries = 6
 )
 
--- a/internal/entry/dotterproxy/decode.go
+++ b/internal/entry/dotterproxy/decode.go
@@ -19,7 +19,7 @@
 	longestKey = 256 // bytes of an idempotency key
 
 	configurationReturn = dotterclock.Second
-	memoryReturn        = 200 * dotterclock.Millis(1)
+	memoryReturn        = 200 * dotterclock.Millisecond
 )
 
 // ownHeaders are this API's own; they are not passed on as they came.
--- a/internal/entry/dotterproxy/proxy.go
+++ b/internal/entry/dotterproxy/proxy.go
@@ -19,7 +19,7 @@
 
 const (
 	drainingReturn = dotterclock.Second
-	crowdedReturn  = 500 * dotterclock.Millis(1)
+	crowdedReturn  = 500 * dotterclock.Millisecond
 )
 
 // Proxy is the HTTP handler of callers' requests to services.
--- a/internal/entry/dotterservice/estimate.go
+++ b/internal/entry/dotterservice/estimate.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	shortestReturn = 50 * dotterclock.Millis(1)
+	shortestReturn = 50 * dotterclock.Millisecond
 	noSlotsReturn  = dotterclock.Second
 )
 
--- a/internal/placement/dotterblame/blame_test.go
+++ b/internal/placement/dotterblame/blame_test.go
@@ -11,7 +11,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterblame"
 )
 
-const now = 1_000_000 * dotterclock.Millis(1)
+const now = 1_000_000 * dotterclock.Millisecond
 
 func task(template string, number int) dottertask.Task {
 	return dottertask.Task{ID: dottertask.ID(fmt.Sprintf("%s-%d", template, number)), Template: template}
--- a/internal/placement/dotterplacer/history.go
+++ b/internal/placement/dotterplacer/history.go
@@ -12,7 +12,7 @@
 	snapshotsKept = 16
 
 	// settleSpan is the time around a change in which reports say little.
-	settleSpan = 1500 * dotterclock.Millis(1)
+	settleSpan = 1500 * dotterclock.Millisecond
 )
 
 // history is what ran on one worker lately, so that a late report can be
--- a/internal/placement/dotterplacer/simulation_test.go
+++ b/internal/placement/dotterplacer/simulation_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	tick         = 500 * dotterclock.Millis(1)
+	tick         = 500 * dotterclock.Millisecond
 	reportLag    = 4 // ticks
 	reportEvery  = 2 // ticks
 	criticals    = 10
--- a/internal/placement/dotterplacer/urgent_test.go
+++ b/internal/placement/dotterplacer/urgent_test.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	planSpan       = 250 * dotterclock.Millis(1)
-	checkpointSpan = 1000 * dotterclock.Millis(1)
-	urgentSpan     = 4600 * dotterclock.Millis(1)
+	planSpan       = 250 * dotterclock.Millisecond
+	checkpointSpan = 1000 * dotterclock.Millisecond
+	urgentSpan     = 4600 * dotterclock.Millisecond
 )
 
 var workerRoom = dotterroom.Room{MilliCores: 64_000, MemoryMB: 250_000}
--- a/internal/server/dotterdaemon/daemon.go
+++ b/internal/server/dotterdaemon/daemon.go
@@ -22,7 +22,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/platform/dotterstore"
 	"github.com/dotterelusher/dotterelusher/internal/server/dotterapi"
 	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
-	"github.com/dotterelusher/dotterelusher/internal/task/dotterservice"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottertasks"
 )
 
 const (
@@ -40,7 +40,7 @@
 	store    dotterelusher.Store
 	cluster  *cluster
 	proxy    *dotterproxy.Proxy
-	tasks    *dotterservice.Service
+	tasks    *dottertasks.Service
 	caller   *server
 	operator *server
 	leaving  atomic.Bool
--- a/internal/server/dotterdaemon/tasks.go
+++ b/internal/server/dotterdaemon/tasks.go
@@ -5,19 +5,19 @@
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterplacer"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dotterworker"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterowner"
-	"github.com/dotterelusher/dotterelusher/internal/task/dotterservice"
+	"github.com/dotterelusher/dotterelusher/internal/task/dottertasks"
 )
 
 // newTasks returns the task service, which registers its methods with the mesh.
-func (d *Daemon) newTasks() *dotterservice.Service {
+func (d *Daemon) newTasks() *dottertasks.Service {
 	knowledge := dotterplacer.NewKnowledge()
 	limits := dotterowner.DefaultLimits()
 	limits.Lease = d.settings.Timing.WorkerLeaseMillis
 	limits.ListLag = d.settings.Timing.HostListLagMillis
 	limits.Queue = d.settings.Limits.MaxQueuedTasks
-	timing := dotterservice.DefaultTiming()
+	timing := dottertasks.DefaultTiming()
 	timing.StoreLease = d.settings.Timing.StoreLeaseMillis
-	return dotterservice.New(dotterservice.Options{
+	return dottertasks.New(dottertasks.Options{
 		Host:          d.settings.Host,
 		FailureDomain: d.settings.FailureDomain,
 		Incarnation:   d.cluster.mesh.Identity().Incarnation,
--- a/internal/task/dotterservice/doc.go
+++ b/internal/task/dottertasks/doc.go
@@ -1,4 +1,4 @@
-// Package dotterservice offers the tasks of the whole pool on every entry host.
+// Package dottertasks offers the tasks of the whole pool on every entry host.
 //
 // Each entry host surveys the shards about once a second: it claims those whose
 // owner's store lease has lapsed, those of its own failure domain first, and
@@ -13,4 +13,4 @@
 // has one task in the whole pool. A key is remembered as long as its task is
 // readable. A failure domain that is added takes over the part of the keys that
 // its shards name from then on; those given before are not looked for there.
-package dotterservice
+package dottertasks
--- a/internal/task/dotterservice/service.go
+++ b/internal/task/dottertasks/service.go
@@ -1,4 +1,4 @@
-package dotterservice
+package dottertasks
 
 import (
 	"context"
