--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 check:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "run make fmt"; exit 1; }
+	$(GO) mod tidy -diff
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
