Prefer the same region when requests are forwarded and tasks move

Cause: with three regions a request or a domain's tasks went to any other domain, as likely across regions as within one. Change: entry hosts and shards of the same region are taken while any can be; others only then. Ruled out: weighing distance by measured latency: no more than the region is known of a peer that was never called. Not covered by a process test: the harness has one region.

--- a/internal/entry/dotterexchange/forwarder.go
+++ b/internal/entry/dotterexchange/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/dotterelusher/dotterelusher"
@@ -58,6 +59,7 @@
 	if len(f.picked) == 0 {
 		return peer, nil, false
 	}
+	f.keepNearLocked(document)
 	peer = f.roomierLocked(always)
 	f.onWay[peer.Name]++
 	return peer, func() { f.ended(peer.Name) }, true
@@ -71,6 +73,18 @@
 	return p.FailureDomain != f.options.FailureDomain && !document.DomainOut(p.FailureDomain)
 }
 
+// keepNearLocked keeps only peers of this host's region if there are any: the way
+// to another region is long, and regions lose each other.
+func (f *Forwarder) keepNearLocked(document dotterconfig.Document) {
+	far := func(p dotterelusher.Peer) bool {
+		return !document.SameRegion(p.FailureDomain, f.options.FailureDomain)
+	}
+	near := slices.DeleteFunc(slices.Clone(f.picked), far)
+	if len(near) > 0 {
+		f.picked = append(f.picked[:0], near...)
+	}
+}
+
 // roomierLocked returns the one with more room of two peers taken at random.
 func (f *Forwarder) roomierLocked(always bool) dotterelusher.Peer {
 	a := f.picked[rand.IntN(len(f.picked))]
--- a/internal/model/dotterconfig/document.go
+++ b/internal/model/dotterconfig/document.go
@@ -57,6 +57,13 @@
 	return ok && f.Out
 }
 
+// SameRegion reports whether the failure domains called a and b are in one region.
+func (d Document) SameRegion(a, b string) bool {
+	x, known := d.FailureDomain(a)
+	y, alsoKnown := d.FailureDomain(b)
+	return known && alsoKnown && x.Region == y.Region
+}
+
 // Drained reports whether operators drain the host called name.
 func (d Document) Drained(name string) bool {
 	for _, h := range d.Draining {
--- a/internal/task/dottertasks/handoff.go
+++ b/internal/task/dottertasks/handoff.go
@@ -21,23 +21,32 @@
 
 var _ dotterowner.Handoff = handoff{}
 
-// Targets returns the other shards that have an owner and workers that take new work.
+// Targets returns the other shards that have an owner and workers that take new
+// work: those of the same region if there are any.
 func (h handoff) Targets(shard dottershard.Name) []string {
 	document, ok := h.service.options.Configuration.Current()
 	if !ok {
 		return nil
 	}
 	capacities := h.service.capacities(document)
-	var targets []string
+	var near, far []string
 	for _, name := range h.service.allShards() {
 		if name == shard || len(capacities[name]) == 0 {
 			continue
 		}
-		if _, located := h.service.locate(name); located {
-			targets = append(targets, name.String())
+		if _, located := h.service.locate(name); !located {
+			continue
+		}
+		if document.SameRegion(name.FailureDomain, shard.FailureDomain) {
+			near = append(near, name.String())
+			continue
 		}
+		far = append(far, name.String())
+	}
+	if len(near) > 0 {
+		return near
 	}
-	return targets
+	return far
 }
 
 // Spare returns the room that other shards have free while none of their tasks
