--- a/internal/testing/dotterfailure/main_test.go
+++ b/internal/testing/dotterfailure/main_test.go
@@ -11,7 +11,7 @@
 )
 
 // clustersAtOnce bounds the tests that run at a time; each has up to nine processes.
-const clustersAtOnce = "3"
+const clustersAtOnce = "4"
 
 func TestMain(m *testing.M) {
 	flag.Parse()
