Test again that answers lost for longer than a lease keep the promises

Cause: the case with 20 lost answers had been cut to 3 when it was seen that repeatable tasks then run a second time, which the rule allows (their worker can't be asked for longer than a lease), and nothing tested the longer loss. Change: a case of its own, marked as one after which repeatable work may have been done twice; unrepeatable work still starts at most once.

--- a/internal/testing/dottercapacity/capacity_test.go
+++ b/internal/testing/dottercapacity/capacity_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottersubmission"
+	// The daemon's code, so that a test result kept from before a change of it isn't used again.
+	_ "github.com/dotterelusher/dotterelusher/internal/server/dotterdaemon"
 	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
 	"github.com/dotterelusher/dotterelusher/internal/testing/dotterharness"
 )
--- a/internal/testing/dotterfailure/tasks_test.go
+++ b/internal/testing/dotterfailure/tasks_test.go
@@ -79,6 +79,9 @@
 	"worker answers lost": {run: func(c *dotterharness.Cluster, d string) {
 		setWorker(c, dotterfault.Worker{LoseAnswers: 3}, d+"-w01", d+"-w02")
 	}},
+	"worker answers lost for longer than a lease": {mayRepeat: true, run: func(c *dotterharness.Cluster, d string) {
+		setWorker(c, dotterfault.Worker{LoseAnswers: 20}, d+"-w01", d+"-w02")
+	}},
 	"owner killed while the store loses answers": {run: func(c *dotterharness.Cluster, d string) {
 		c.Fault(dotterfault.PathStore, dotterfault.Store{LoseProbability: 0.3})
 		c.Remove(c.Host(d, 0))
