Bind a start to the worker's incarnation

Cause: a restarted worker remembers neither epochs nor what it ran. A duplicate of a start that arrives after the restart, still within its latest time, would run the attempt again. Change: a start names the incarnation that the attempt was logged for; a worker refuses any other. Ruled out: a shorter window for starts: it only narrows the gap and makes slow workers refuse. Seen failing: the owner's tests when the start doesn't carry it (their workers refuse), TestWorkerRefusals/restarted without the worker's check. Conclusion: unit tests and the worker cases of the process tests pass.

--- a/internal/model/dotterattempt/command.go
+++ b/internal/model/dotterattempt/command.go
@@ -17,6 +17,7 @@
 type Start struct {
 	Ref
 	Epoch       int64
+	Incarnation int64              // of the worker that the attempt is logged for; any other refuses the start
 	LatestStart dotterclock.Millis // on the worker's clock; the worker refuses a later start
 	Lease       dotterclock.Millis // how long the attempt may run without a renewal
 	Size        dotterroom.Room
--- a/internal/model/dotterattempt/doc.go
+++ b/internal/model/dotterattempt/doc.go
@@ -3,7 +3,8 @@
 // Every command carries the shard, the shard's epoch and the attempt number. A
 // worker keeps the highest epoch that it has seen of each shard and refuses
 // commands of a lower one; it refuses a start that arrives later than
-// LatestStart on its own clock. Start is idempotent by task and attempt. Every
+// LatestStart on its own clock, or that is meant for another incarnation of it: a
+// worker that has restarted remembers neither epochs nor what it ran. Start is idempotent by task and attempt. Every
 // answer carries the worker's clock, from which the owner learns how to state
 // LatestStart.
 //
--- a/internal/standin/dotterplatform/platform_test.go
+++ b/internal/standin/dotterplatform/platform_test.go
@@ -129,11 +129,12 @@
 
 // workerTest drives one worker of a platform as shard "a/0" at epoch 1.
 type workerTest struct {
-	t        *testing.T
-	platform *Platform
-	client   *dotterworker.Client
-	address  string
-	clock    dotterclock.Millis // the worker's, learned from an answer
+	t           *testing.T
+	platform    *Platform
+	client      *dotterworker.Client
+	address     string
+	clock       dotterclock.Millis // the worker's, learned from an answer
+	incarnation int64              // the worker's, learned from an answer
 }
 
 func newWorkerTest(t *testing.T) *workerTest {
@@ -142,6 +143,7 @@
 	report, err := w.client.Inventory(context.Background(), w.address, "a/0", 1)
 	require.NoError(t, err)
 	w.clock = report.Clock
+	w.incarnation = report.Incarnation
 	return w
 }
 
@@ -149,7 +151,7 @@
 	w.t.Helper()
 	start := dotterattempt.Start{
 		Ref:   dotterattempt.Ref{Shard: "a/0", Task: "a/0/" + dottertask.ID(task), Attempt: 1},
-		Epoch: 1, LatestStart: w.clock + 60_000, Lease: 60_000,
+		Epoch: 1, Incarnation: w.incarnation, LatestStart: w.clock + 60_000, Lease: 60_000,
 		Size: dotterroom.Room{MilliCores: 2000, MemoryMB: 1000}, Template: "t", RunMillis: 60_000,
 	}
 	if edit != nil {
@@ -179,6 +181,7 @@
 		"taken":     {edit: nil, want: ""},
 		"old epoch": {edit: func(s *dotterattempt.Start) { s.Epoch = 0 }, want: dotterstandworker.RefusedEpoch},
 		"too late":  {edit: func(s *dotterattempt.Start) { s.LatestStart -= 60_001 }, want: dotterstandworker.RefusedLate},
+		"restarted": {edit: func(s *dotterattempt.Start) { s.Incarnation-- }, want: dotterstandworker.RefusedIncarnation},
 		"no room":   {edit: func(s *dotterattempt.Start) { s.Size.MemoryMB = 4001 }, want: dotterstandworker.RefusedRoom},
 	}
 	for name, c := range cases {
--- a/internal/standin/dotterstandworker/commands.go
+++ b/internal/standin/dotterstandworker/commands.go
@@ -9,12 +9,13 @@
 
 // Reasons for which a worker refuses a command.
 const (
-	RefusedEpoch  = "the epoch is older than one seen before"
-	RefusedLate   = "the start came too late"
-	RefusedRoom   = "there is no room"
-	RefusedEnded  = "the attempt has ended"
-	RefusedFault  = "the worker refuses every start"
-	RefusedAbsent = "there is no such attempt"
+	RefusedEpoch       = "the epoch is older than one seen before"
+	RefusedLate        = "the start came too late"
+	RefusedIncarnation = "the start is meant for another incarnation"
+	RefusedRoom        = "there is no room"
+	RefusedEnded       = "the attempt has ended"
+	RefusedFault       = "the worker refuses every start"
+	RefusedAbsent      = "there is no such attempt"
 )
 
 // Start runs an attempt; repeating it for the same attempt changes nothing.
@@ -120,6 +121,8 @@
 		return RefusedEnded
 	case w.fault.RefuseStarts:
 		return RefusedFault
+	case start.Incarnation != w.incarnation:
+		return RefusedIncarnation
 	case w.now() > start.LatestStart:
 		w.recorder.Refused(w.host.Name, func(t *dottertruth.Worker) { t.TooLate++ })
 		return RefusedLate
--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -254,6 +254,9 @@
 	if w.refuse {
 		return p.reportOf(w, start.Shard, "refuses everything"), nil
 	}
+	if start.Incarnation != w.host.Incarnation {
+		return p.reportOf(w, start.Shard, "another incarnation"), nil
+	}
 	now := p.clock.Now() + 77 + p.leaped + p.ahead
 	p.leaped, p.ahead = p.leaped+p.ahead, 0
 	if _, known := w.attempts[start.Ref]; !known && now > start.LatestStart {
--- a/internal/task/dotterowner/starts.go
+++ b/internal/task/dotterowner/starts.go
@@ -54,6 +54,7 @@
 	command := dotterattempt.Start{
 		Ref:         o.ref(r),
 		Epoch:       o.log.Epoch(),
+		Incarnation: e.Incarnation,
 		LatestStart: r.latestStart,
 		Lease:       o.limits.Lease,
 		Size:        r.size,
