Hold the ports of closed stand-in endpoints; register metrics by the library

Change: a closed endpoint keeps its port bound without listening until it opens again. Ruled out: a fault of the store's adapter: for a connection that was accepted and reset, "may have taken effect" is the right answer.

--- a/internal/cluster/dotterdirectory/metrics.go
+++ b/internal/cluster/dotterdirectory/metrics.go
@@ -1,6 +1,9 @@
 package dotterdirectory
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Metrics are the directory's collectors.
 type Metrics struct {
@@ -10,16 +13,15 @@
 
 // NewMetrics registers the directory's collectors with registerer.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		hosts: prometheus.NewGauge(prometheus.GaugeOpts{
+	factory := promauto.With(registerer)
+	return &Metrics{
+		hosts: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "dotterelusher_directory_hosts",
 			Help: "Rows of the host list as last read.",
 		}),
-		failures: prometheus.NewCounter(prometheus.CounterOpts{
+		failures: factory.NewCounter(prometheus.CounterOpts{
 			Name: "dotterelusher_directory_failures_total",
 			Help: "Reads of the host list that failed.",
 		}),
 	}
-	registerer.MustRegister(m.hosts, m.failures)
-	return m
 }
--- a/internal/cluster/dottermember/metrics.go
+++ b/internal/cluster/dottermember/metrics.go
@@ -1,6 +1,9 @@
 package dottermember
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Metrics are the collectors of a Keeper.
 type Metrics struct {
@@ -10,16 +13,15 @@
 
 // NewMetrics registers the collectors with registerer.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		members: prometheus.NewGauge(prometheus.GaugeOpts{
+	factory := promauto.With(registerer)
+	return &Metrics{
+		members: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "dotterelusher_members",
 			Help: "Members of this failure domain in the record last read.",
 		}),
-		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		changes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "dotterelusher_membership_changes_total",
 			Help: "Changes of the record that this process made, by kind.",
 		}, []string{"Kind"}),
 	}
-	registerer.MustRegister(m.members, m.changes)
-	return m
 }
--- a/internal/cluster/dotterpeer/metrics.go
+++ b/internal/cluster/dotterpeer/metrics.go
@@ -1,6 +1,9 @@
 package dotterpeer
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Metrics are the mesh's collectors.
 type Metrics struct {
@@ -14,18 +17,15 @@
 
 // NewMetrics registers the mesh's collectors with registerer.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	factory := promauto.With(registerer)
 	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
-		registerer.MustRegister(c)
-		return c
+		return factory.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
-	links := prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "dotterelusher_peer_links",
-		Help: "Links to other entry hosts.",
-	})
-	registerer.MustRegister(links)
 	return &Metrics{
-		links:            links,
+		links: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "dotterelusher_peer_links",
+			Help: "Links to other entry hosts.",
+		}),
 		bytesSent:        counter("dotterelusher_peer_sent_bytes_total", "Bytes sent to other entry hosts."),
 		bytesReceived:    counter("dotterelusher_peer_received_bytes_total", "Bytes received from other entry hosts."),
 		messagesSent:     counter("dotterelusher_peer_sent_messages_total", "Messages sent to other entry hosts."),
--- a/internal/cluster/dotterrevision/metrics.go
+++ b/internal/cluster/dotterrevision/metrics.go
@@ -1,6 +1,9 @@
 package dotterrevision
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Metrics are the collectors of a Holder.
 type Metrics struct {
@@ -12,24 +15,23 @@
 
 // NewMetrics registers the collectors with registerer.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	m := &Metrics{
-		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+	factory := promauto.With(registerer)
+	return &Metrics{
+		revision: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "dotterelusher_configuration_revision",
 			Help: "Revision of the configuration in force.",
 		}),
-		taken: prometheus.NewCounterVec(prometheus.CounterOpts{
+		taken: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "dotterelusher_configuration_taken_total",
 			Help: "Revisions taken, by source.",
 		}, []string{"Source"}),
-		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+		reads: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "dotterelusher_configuration_reads_total",
 			Help: "Reads made for proof that the configuration is current, by source and result.",
 		}, []string{"Source", "Result"}),
-		refused: prometheus.NewCounter(prometheus.CounterOpts{
+		refused: factory.NewCounter(prometheus.CounterOpts{
 			Name: "dotterelusher_configuration_old_total",
 			Help: "Answers that held an older revision than the one in force.",
 		}),
 	}
-	registerer.MustRegister(m.revision, m.taken, m.reads, m.refused)
-	return m
 }
--- a/internal/cluster/dotterslot/metrics.go
+++ b/internal/cluster/dotterslot/metrics.go
@@ -1,6 +1,9 @@
 package dotterslot
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Metrics are the ledger's collectors.
 type Metrics struct {
@@ -13,10 +16,9 @@
 
 // NewMetrics registers the ledger's collectors with registerer.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	factory := promauto.With(registerer)
 	gauge := func(name, help string) prometheus.Gauge {
-		g := prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
-		registerer.MustRegister(g)
-		return g
+		return factory.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 	}
 	return &Metrics{
 		epoch:        gauge("dotterelusher_membership_epoch", "Membership epoch adopted."),
--- a/internal/standin/dotterendpoint/endpoint.go
+++ b/internal/standin/dotterendpoint/endpoint.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	address string
 	server  *http.Server
+	held    int // socket that holds the port while nothing listens
 	conns   map[net.Conn]*conn
 }
 
@@ -37,6 +38,7 @@
 		handler: handler,
 		onState: onState,
 		address: address,
+		held:    noHold,
 		conns:   map[net.Conn]*conn{},
 	}
 }
@@ -55,6 +57,8 @@
 	if e.server != nil {
 		return nil
 	}
+	release(e.held)
+	e.held = noHold
 	l, err := listen(e.address)
 	if err != nil {
 		return eris.Wrap(ErrListen, err.Error())
@@ -69,14 +73,20 @@
 	return nil
 }
 
-// Close stops listening and cuts every connection.
+// Close stops listening and cuts every connection; nobody else gets the port.
 func (e *Endpoint) Close() {
 	e.mu.Lock()
 	server := e.server
 	e.server = nil
 	e.mu.Unlock()
-	if server != nil {
-		server.Close()
+	if server == nil {
+		return
+	}
+	server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil && e.held == noHold {
+		e.held = hold(e.address)
 	}
 }
 
