--- a/internal/testing/dotterharness/cluster.go
+++ b/internal/testing/dotterharness/cluster.go
@@ -222,7 +222,7 @@
 func (c *Cluster) accept(n net.Conn, to string) *link {
 	l := &link{to: to}
 	for _, h := range c.Hosts {
-		if h.Process != nil && ownsConnection(h.Pid(), n.RemoteAddr()) {
+		if h.Process != nil && ownsConnection(h.Pid(), n.RemoteAddr(), n.LocalAddr()) {
 			l.from = h.Name()
 		}
 	}
--- a/internal/testing/dotterharness/owner.go
+++ b/internal/testing/dotterharness/owner.go
@@ -11,10 +11,10 @@
 	"strings"
 )
 
-// ownsConnection reports whether process pid holds the socket whose local
-// address is remote, by the kernel's tables.
-func ownsConnection(pid int, remote net.Addr) bool {
-	inode, ok := socketInode(remote)
+// ownsConnection reports whether process pid holds the socket of the connection
+// from local to remote, by the kernel's tables.
+func ownsConnection(pid int, local, remote net.Addr) bool {
+	inode, ok := socketInode(local, remote)
 	if !ok {
 		return false
 	}
@@ -31,10 +31,15 @@
 	return false
 }
 
-// socketInode returns the inode of the socket with the given local address.
-func socketInode(local net.Addr) (string, bool) {
-	address, ok := local.(*net.TCPAddr)
-	if !ok {
+// closedInode stands in the kernel's table for a connection that no process holds any more.
+const closedInode = "0"
+
+// socketInode returns the inode of the socket that connects local to remote. The
+// local address alone would not do: connections to several addresses may share it.
+func socketInode(local, remote net.Addr) (string, bool) {
+	near, ok := local.(*net.TCPAddr)
+	far, alsoOK := remote.(*net.TCPAddr)
+	if !ok || !alsoOK {
 		return "", false
 	}
 	table, err := os.Open("/proc/net/tcp")
@@ -42,11 +47,11 @@
 		return "", false
 	}
 	defer table.Close()
-	wanted := kernelAddress(address)
+	from, to := kernelAddress(near), kernelAddress(far)
 	lines := bufio.NewScanner(table)
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
-		if len(fields) > 9 && fields[1] == wanted {
+		if len(fields) > 9 && fields[1] == from && fields[2] == to && fields[9] != closedInode {
 			return fields[9], true
 		}
 	}
--- a/internal/testing/dotterharness/relay_test.go
+++ b/internal/testing/dotterharness/relay_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,8 +22,38 @@
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
-	assert.True(t, ownsConnection(os.Getpid(), c.LocalAddr()))
-	assert.False(t, ownsConnection(os.Getppid(), c.LocalAddr()))
+	assert.True(t, ownsConnection(os.Getpid(), c.LocalAddr(), c.RemoteAddr()))
+	assert.False(t, ownsConnection(os.Getppid(), c.LocalAddr(), c.RemoteAddr()))
+}
+
+// TestSharedPortIsToldApart has two connections share their local address.
+func TestSharedPortIsToldApart(t *testing.T) {
+	listeners := make([]net.Listener, 3)
+	for i := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		listeners[i] = l
+	}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}, Control: reuseAddress}
+	first, err := dialer.Dial("tcp", listeners[0].Addr().String())
+	require.NoError(t, err)
+	defer first.Close()
+	dialer.LocalAddr = first.LocalAddr()
+	second, err := dialer.Dial("tcp", listeners[1].Addr().String())
+	require.NoError(t, err)
+	defer second.Close()
+	assert.True(t, ownsConnection(os.Getpid(), first.LocalAddr(), listeners[0].Addr()))
+	assert.True(t, ownsConnection(os.Getpid(), first.LocalAddr(), listeners[1].Addr()))
+	assert.False(t, ownsConnection(os.Getpid(), first.LocalAddr(), listeners[2].Addr()))
+}
+
+func reuseAddress(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	})
+	return errors.Join(err, failed)
 }
 
 func TestSilencedLinkStaysSilent(t *testing.T) {
