Wait for the first change before the second edit in TestRestartDuringOutage

Cause: the test's second edit can go through a host that has not yet received the first change; such an edit is rightly refused as a conflict. Ruled out: a fault of the edit path, since the refusal names the revision that the host lacks.

--- a/internal/testing/dotterfailure/configuration_test.go
+++ b/internal/testing/dotterfailure/configuration_test.go
@@ -132,6 +132,8 @@
 	c := dotterharness.NewCluster(t, oneDomain(2))
 	h := c.Host("a", 0)
 	revision := c.SetDomain(h, "a", true)
+	// An edit through a host that lacks the previous one is refused as a conflict.
+	c.Await("the first change is in force everywhere", func() bool { return inForce(t, c, revision, map[string]int64{}) })
 	revision = max(revision, c.SetDomain(h, "a", false))
 	c.Await("the change is in force everywhere", func() bool { return inForce(t, c, revision, map[string]int64{}) })
 	c.Fault(dotterfault.PathStore, dotterfault.Store{Outage: dotterfault.OutageHang})
