--- /dev/null
+++ b/internal/job/dotterboard/job.go
@@ -0,0 +1,128 @@
+package dotterboard
+
+import (
+	"slices"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+)
+
+// job is a job and how far it has come.
+type job struct {
+	dotterjob.Job
+	queue       dotterqueues.Queue // as last configured
+	seenAt      dotterclock.Millis // when it was accepted, on the owner's clock
+	occurrences []*occurrence
+	outcome     dotterjob.State // final state decided; empty before
+	outcomeAt   dotterclock.Millis
+	shown       dotterjob.State // final state that the store has; empty before
+	begun       bool            // a task has started
+	dirty       bool
+	starts      []*task // bound since the last batch
+	ends        []*end  // taken in since the last batch
+}
+
+// occurrence is one time that a job's steps run.
+type occurrence struct {
+	job    *job
+	number int
+	due    dotterclock.Millis // on the time of day; 0: at once
+	steps  []*step
+	open   int // steps that are not done
+}
+
+// step is the tasks of one step of one occurrence.
+type step struct {
+	dotterjob.Step
+	occurrence *occurrence
+	number     int
+	tasks      []*task
+	waiting    int // tasks that are not bound and not done
+	done       int
+	tickets    *tickets // admission of workers, where the queue has a policy
+}
+
+func newJob(j dotterjob.Job, queue dotterqueues.Queue, seenAt dotterclock.Millis) *job {
+	n := &job{Job: j, queue: queue, seenAt: seenAt}
+	for k := range j.Occurrences() {
+		o := &occurrence{job: n, number: k, due: j.DueAt(k), open: len(j.Steps)}
+		for i, s := range j.Steps {
+			o.steps = append(o.steps, newStep(o, i, s))
+		}
+		n.occurrences = append(n.occurrences, o)
+	}
+	return n
+}
+
+func newStep(o *occurrence, number int, s dotterjob.Step) *step {
+	n := &step{Step: s, occurrence: o, number: number, waiting: s.Count}
+	for i := range s.Count {
+		n.tasks = append(n.tasks, &task{step: n, index: i})
+	}
+	return n
+}
+
+// ready reports whether tasks of the step may start.
+func (s *step) ready(wall dotterclock.Millis) bool {
+	if s.occurrence.due > wall {
+		return false
+	}
+	for _, after := range s.After {
+		if before := s.occurrence.steps[after]; before.done < before.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// state returns what callers are shown.
+func (j *job) state() dotterjob.State {
+	switch {
+	case j.shown != "":
+		return j.shown
+	case j.begun:
+		return dotterjob.Running
+	}
+	return dotterjob.Queued
+}
+
+// tasks calls visit for each task.
+func (j *job) tasks(visit func(*task)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				visit(t)
+			}
+		}
+	}
+}
+
+// chain returns the declared length of the longest chain of steps.
+func (j *job) chain() dotterclock.Millis {
+	lengths := make([]dotterclock.Millis, len(j.Steps))
+	longest := dotterclock.Millis(0)
+	for i, s := range j.Steps {
+		for _, after := range s.After {
+			lengths[i] = max(lengths[i], lengths[after])
+		}
+		lengths[i] += s.Estimate
+		longest = max(longest, lengths[i])
+	}
+	return longest
+}
+
+// objective returns by when the occurrence should be done.
+func (o *occurrence) objective(wall, now dotterclock.Millis) dotterclock.Millis {
+	begin := o.job.seenAt
+	if o.due > 0 {
+		begin = now + o.due - wall
+	}
+	stretch := max(1, o.job.queue.Stretch)
+	return begin + dotterclock.Millis(stretch*float64(o.job.chain())) + o.job.queue.Target
+}
+
+// deleteJob returns jobs without j.
+func deleteJob(jobs []*job, j *job) []*job {
+	return slices.DeleteFunc(jobs, func(o *job) bool { return o == j })
+}
--- /dev/null
+++ b/internal/job/dotterhead/chain.go
@@ -0,0 +1,120 @@
+package dotterhead
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+)
+
+// Errors of a Chain.
+var (
+	// ErrDeposed means that another host owns the shard.
+	ErrDeposed = eris.New("head: another host has taken the shard over")
+	// ErrStopped means that the context ended before the outcome of a commit was known.
+	ErrStopped = eris.New("head: stopped before the commit was answered")
+)
+
+const (
+	// attemptSpan bounds one call to the store, far above its usual answer of some milliseconds.
+	attemptSpan = 800 * dotterclock.Millisecond
+	// retrySpan is the pause before a commit is tried again: short beside BeatSpan.
+	retrySpan = 60 * dotterclock.Millisecond
+)
+
+// Chain is the commits of one owner. One goroutine at a time may commit.
+type Chain struct {
+	store       dotterelusher.TransactionalStore
+	key         string
+	clock       dotterelusher.Clock
+	logger      *zap.Logger
+	head        Head
+	version     dotterkey.Version
+	confirmedAt atomic.Int64
+}
+
+// Epoch returns the owner's epoch.
+func (c *Chain) Epoch() int64 {
+	return c.head.Epoch
+}
+
+// ConfirmedAt returns when the newest answered commit was sent: this host was the owner then.
+func (c *Chain) ConfirmedAt() dotterclock.Millis {
+	return dotterclock.Millis(c.confirmedAt.Load())
+}
+
+// MostEntries is how many keys one commit may change beside the head.
+const MostEntries = dotterkey.MaxTransaction - 2
+
+// Commit writes the entries and deletes the keys. It tries until an answer tells
+// the outcome; it returns ErrDeposed if another host owns the shard.
+func (c *Chain) Commit(ctx context.Context, puts []dotterkey.Entry, deletes []string) error {
+	next := c.head
+	next.Commit++
+	return c.advance(ctx, next, puts, deletes)
+}
+
+// Release gives the shard up, so that another host may take it over at once.
+func (c *Chain) Release(ctx context.Context) error {
+	next := c.head
+	next.Host, next.Address = "", ""
+	next.Commit++
+	return c.advance(ctx, next, nil, nil)
+}
+
+func (c *Chain) advance(ctx context.Context, next Head, puts []dotterkey.Entry, deletes []string) error {
+	t := dotterkey.Transaction{
+		Expect:  map[string]dotterkey.Version{c.key: c.version},
+		Puts:    append(puts, dotterkey.Entry{Key: c.key, Value: next.encode()}),
+		Deletes: deletes,
+	}
+	for attempt := 1; ; attempt++ {
+		sentAt := c.clock.Now()
+		version, err := c.try(ctx, t, next)
+		if err == nil {
+			c.head, c.version = next, version
+			c.confirmedAt.Store(int64(sentAt))
+			return nil
+		}
+		if errors.Is(err, ErrDeposed) {
+			return err
+		}
+		c.logger.Warn("commit not confirmed", zap.Int64("Epoch", next.Epoch), zap.Int64("Commit", next.Commit),
+			zap.Int("Attempt", attempt), zap.Int64("ConfirmedMsAgo", int64(sentAt-c.ConfirmedAt())), zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return ErrStopped
+		case <-c.clock.After(retrySpan):
+		}
+	}
+}
+
+// try sends the transaction once. An own commit whose answer was lost is
+// recognised by its epoch and number.
+func (c *Chain) try(ctx context.Context, t dotterkey.Transaction, next Head) (dotterkey.Version, error) {
+	call, cancel := context.WithTimeout(ctx, attemptSpan.Duration())
+	defer cancel()
+	revision, current, err := c.store.Commit(call, t)
+	if err == nil {
+		return dotterkey.Version(revision), nil
+	}
+	if !errors.Is(err, dotterelusher.ErrStoreConflict) {
+		return 0, err
+	}
+	for _, e := range current {
+		if e.Key != c.key {
+			continue
+		}
+		found, err := decode(e.Value)
+		if err == nil && found == next {
+			return e.Version, nil
+		}
+	}
+	return 0, ErrDeposed
+}
--- /dev/null
+++ b/internal/job/dotterlink/server.go
@@ -0,0 +1,112 @@
+package dotterlink
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+)
+
+// ErrListen means that the address for links can't be bound.
+var ErrListen = eris.New("link: can't listen")
+
+// Method answers one kind of call.
+type Method func(ctx context.Context, args json.RawMessage) (any, error)
+
+// Server answers the calls of other hosts.
+type Server struct {
+	listener net.Listener
+	methods  map[string]Method
+	logger   *zap.Logger
+	tomb     tomb.Tomb
+}
+
+// Listen returns a server at address, or ErrListen. It answers once Serve runs.
+func Listen(address string, methods map[string]Method, logger *zap.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(ErrListen, "%s: %v", address, err)
+	}
+	return &Server{listener: listener, methods: methods, logger: logger}, nil
+}
+
+// Address returns the address that the server is bound to.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Start accepts links until Stop.
+func (s *Server) Start() {
+	s.tomb.Go(func() error {
+		for {
+			conn, err := s.listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				s.logger.Warn("link not accepted", zap.Error(err))
+				continue
+			}
+			ctx := s.tomb.Context(context.Background())
+			stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
+			link := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler{s}), quiet())
+			s.tomb.Go(func() error {
+				select {
+				case <-link.DisconnectNotify():
+				case <-s.tomb.Dying():
+				}
+				if err := link.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+					s.logger.Debug("link not closed cleanly", zap.Error(err))
+				}
+				return nil
+			})
+		}
+	})
+}
+
+// Stop closes all links.
+func (s *Server) Stop() error {
+	s.tomb.Kill(nil)
+	if err := s.listener.Close(); err != nil {
+		return err
+	}
+	return s.tomb.Wait()
+}
+
+// handler answers the calls of one link.
+type handler struct {
+	server *Server
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h handler) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		return
+	}
+	method, ok := h.server.methods[r.Method]
+	if !ok {
+		h.reply(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}))
+		return
+	}
+	var args json.RawMessage
+	if r.Params != nil {
+		args = *r.Params
+	}
+	result, err := method(ctx, args)
+	if err != nil {
+		h.reply(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}))
+		return
+	}
+	h.reply(c.Reply(ctx, r.ID, result))
+}
+
+func (h handler) reply(err error) {
+	if err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		h.server.logger.Debug("link answer not sent", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/model/dotterjob/job.go
@@ -0,0 +1,71 @@
+package dotterjob
+
+import (
+	"strconv"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
+
+// Limits of a job.
+const (
+	MaxSpecBytes = 4000 // the platform's limit
+	MaxSteps     = 64   // far above any job seen; bounds the memory of one job
+	MaxTasks     = 4096 // per occurrence; as MaxSteps
+	MaxTimes     = 4096 // occurrences; as MaxSteps
+)
+
+// Job is a job as its caller handed it in.
+type Job struct {
+	ID         ID
+	Queue      string
+	AcceptedAt dotterclock.Millis // on the accepting host's clock
+	Spec       string
+	Steps      []Step
+	Times      int                `json:",omitempty"` // occurrences; 0: the job runs once, at once
+	FirstDue   dotterclock.Millis `json:",omitempty"` // when occurrence 0 is due
+	Interval   dotterclock.Millis `json:",omitempty"` // between two occurrences
+}
+
+// Occurrences returns how often the steps run.
+func (j Job) Occurrences() int {
+	return max(1, j.Times)
+}
+
+// DueAt returns when the occurrence may start; 0 means at once.
+func (j Job) DueAt(occurrence int) dotterclock.Millis {
+	if j.Times == 0 {
+		return 0
+	}
+	return j.FirstDue + dotterclock.Millis(occurrence)*j.Interval
+}
+
+// Check returns a fault for each field that can't be met, named by its JSON pointer.
+func (j Job) Check() error {
+	var c dottercheck.Checker
+	if !j.ID.Valid() {
+		c.Fail("/Id", "is not 16 hexadecimal digits")
+	}
+	dottercheck.Range(&c, "/Spec", len(j.Spec), 0, MaxSpecBytes, "bytes")
+	dottercheck.Range(&c, "/Steps", len(j.Steps), 1, MaxSteps, "steps")
+	dottercheck.Range(&c, "/Times", j.Times, 0, MaxTimes, "")
+	if j.Times > 1 && j.Interval <= 0 {
+		c.Fail("/IntervalMs", "must be above 0 for a job that repeats")
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		at := "/Steps/" + strconv.Itoa(i)
+		dottercheck.Range(&c, at+"/Count", s.Count, 1, MaxTasks, "tasks")
+		tasks += s.Count
+		if s.Size.MilliCores < 0 || s.Size.MemoryMB < 0 || s.Size.Accelerators < 0 {
+			c.Fail(at, "asks for a negative amount of room")
+		}
+		for _, after := range s.After {
+			if after < 0 || after >= i {
+				c.Fail(at+"/After", "names step "+strconv.Itoa(after)+", which is no earlier one")
+			}
+		}
+	}
+	dottercheck.Range(&c, "/Steps", tasks, 1, MaxTasks, "tasks in all")
+	return c.Err("job " + string(j.ID))
+}
--- /dev/null
+++ b/internal/model/dotterworker/doc.go
@@ -0,0 +1,2 @@
+// Package dotterworker describes a worker as the platform's directory shows it.
+package dotterworker
--- a/internal/platform/dottermemory/store.go
+++ b/internal/platform/dottermemory/store.go
@@ -13,7 +13,7 @@
 // WatchSpan is how long a watch waits for a change before it returns without one.
 const WatchSpan = 10 * dotterclock.Second
 
-var _ dotterelusher.Store = (*Store)(nil)
+var _ dotterelusher.TransactionalStore = (*Store)(nil)
 
 // Store is a key-value store in memory with switchable faults.
 type Store struct {
@@ -107,9 +107,70 @@
 	return nil
 }
 
+// Commit carries the transaction out; see dotterelusher.TransactionalStore.
+func (s *Store) Commit(_ context.Context, t dotterkey.Transaction) (dotterkey.Revision, []dotterkey.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.begin(); err != nil {
+		return 0, nil, err
+	}
+	if !s.expected(t) {
+		return 0, s.currentOf(t), dotterelusher.ErrStoreConflict
+	}
+	for _, e := range t.Puts {
+		s.write(e.Key, e.Value, e.Lease)
+	}
+	for _, key := range t.Deletes {
+		if _, ok := s.content.entries[key]; ok {
+			s.remove(key)
+		}
+	}
+	for _, e := range t.Puts {
+		s.stamp(e.Key, dotterkey.Version(s.content.revision))
+	}
+	if s.loseAnswer() {
+		return 0, nil, dotterelusher.ErrStoreIndeterminate
+	}
+	return s.content.revision, nil, nil
+}
+
+// stamp gives key the version that all keys of one transaction share.
+func (s *Store) stamp(key string, version dotterkey.Version) {
+	entry := s.content.entries[key]
+	entry.Version = version
+	s.content.entries[key] = entry
+	r := s.records[key]
+	r.entry.Version = version
+	s.records[key] = r
+}
+
+func (s *Store) expected(t dotterkey.Transaction) bool {
+	for key, version := range t.Expect {
+		if s.content.entries[key].Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Store) currentOf(t dotterkey.Transaction) []dotterkey.Entry {
+	var current []dotterkey.Entry
+	for key := range t.Expect {
+		if e, ok := s.content.entries[key]; ok {
+			current = append(current, e)
+		}
+	}
+	return current
+}
+
 // Watch waits for changes below prefix after the revision; see dotterelusher.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, after dotterkey.Revision) (dotterkey.Changes, error) {
-	end := s.clock.After(WatchSpan)
+	return s.WatchFor(ctx, prefix, after, WatchSpan)
+}
+
+// WatchFor waits at most span for changes; see dotterelusher.TransactionalStore.
+func (s *Store) WatchFor(ctx context.Context, prefix string, after dotterkey.Revision, span dotterclock.Millis) (dotterkey.Changes, error) {
+	end := s.clock.After(span)
 	for {
 		changes, changed, err := s.poll(prefix, after)
 		if err != nil || len(changes.Entries)+len(changes.Deleted) > 0 {
--- /dev/null
+++ b/internal/server/dotterscheduler/term.go
@@ -0,0 +1,227 @@
+package dotterscheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterdispatch"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterentry"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterhead"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterreplica"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+)
+
+const (
+	// planSpan is the shortest time between two plans: what happens meanwhile is planned together.
+	planSpan = 5 * dotterclock.Millisecond
+	// commitSpan is the shortest time between two commits that somebody waits for.
+	commitSpan = 12 * dotterclock.Millisecond
+	// lazySpan is how long ends wait for a commit that is made anyway.
+	lazySpan = 150 * dotterclock.Millisecond
+	// syncSpan is how often sessions are compared with the workers.
+	syncSpan = 400 * dotterclock.Millisecond
+	// loadSpan bounds the reading of the shard's state by a new owner.
+	loadSpan = 6 * dotterclock.Second
+)
+
+// term is the work of the owner of the shard.
+type term struct {
+	*Scheduler
+}
+
+// Own implements dotterhead.Owner.
+func (t term) Own(ctx context.Context, chain *dotterhead.Chain) error {
+	began := t.clock.Now()
+	o := t.orders.Load()
+	b := dotterboard.New(t.settings.Board, chain.Epoch(), began, t.logger)
+	b.Configure(o.document, o.out)
+	planned, committed := b.Subscribe(), b.Subscribe()
+	revision, err := t.load(ctx, b)
+	if err != nil {
+		t.logger.Error("the shard's state can't be read", zap.Int64("Epoch", chain.Epoch()), zap.Error(err))
+		return nil // release it, so that another host may try
+	}
+	t.logger.Info("shard loaded", zap.Int64("Epoch", chain.Epoch()), zap.Int64("TookMs", int64(t.clock.Now()-began)), zap.Int("Jobs", b.Summary(began).Jobs))
+	t.board.Store(b)
+	defer t.board.Store(nil)
+	if o := t.orders.Load(); o != nil { // a change that came while the board was not known
+		b.Configure(o.document, o.out)
+	}
+
+	var work tomb.Tomb
+	inner := work.Context(ctx)
+	directory := dotterreplica.New(t.platform.Store, t.clock, t.logger, t.platform.DirectoryPrefix, watchSpan,
+		t.platform.NewDirectorySink(func(workers map[string]dotterworker.Worker) { b.Directory(t.clock.Now(), workers) }))
+	inbox := dotterreplica.New(t.platform.Store, t.clock, t.logger, dotterentry.InboxPrefix, watchSpan, inboxSink{t, b})
+	work.Go(func() error { return directory.Run(inner) })
+	work.Go(func() error { return inbox.RunFrom(inner, revision) })
+	work.Go(func() error { return t.plan(inner, b, planned) })
+	work.Go(func() error { return t.commit(inner, b, chain, committed) })
+	work.Go(func() error { return t.dispatch(inner, &work, b, chain) })
+	<-inner.Done()
+	err = work.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// load takes in the shard's state from the store.
+func (t term) load(ctx context.Context, b *dotterboard.Board) (dotterkey.Revision, error) {
+	call, cancel := context.WithTimeout(ctx, loadSpan.Duration())
+	defer cancel()
+	inbox, revision, err := t.platform.Store.List(call, dotterentry.InboxPrefix)
+	if err != nil {
+		return 0, err
+	}
+	progress, _, err := t.platform.Store.List(call, dotterentry.ProgressPrefix)
+	if err != nil {
+		return 0, err
+	}
+	sink := inboxSink{t, b}
+	sink.accept(inbox)
+	for _, e := range progress {
+		id := dotterentry.ParseProgressKey(e.Key)
+		if err := b.Restore(t.clock.Now(), id, e.Value); err != nil {
+			return 0, err
+		}
+	}
+	sink.cancel(inbox)
+	return revision, nil
+}
+
+// plan plans whenever something has changed.
+func (t term) plan(ctx context.Context, b *dotterboard.Board, changed <-chan struct{}) error {
+	for {
+		next := b.Plan(t.clock.Now(), wall())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.clock.After(planSpan):
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-t.clock.After(max(0, next-t.clock.Now())):
+		}
+	}
+}
+
+// commit writes the board's changes, and shows every beat that the owner lives.
+func (t term) commit(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain, changed <-chan struct{}) error {
+	last := t.clock.Now()
+	for {
+		now := t.clock.Now()
+		due := last + dotterhead.BeatSpan
+		switch {
+		case b.Urgent():
+			due = last + commitSpan
+		case b.Dirty():
+			due = last + lazySpan
+		}
+		if now < due {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+			case <-t.clock.After(due - now):
+			}
+			continue
+		}
+		last = now
+		if err := t.commitBatch(ctx, b, chain); err != nil {
+			return err
+		}
+		if b.Deposed() {
+			return dotterhead.ErrDeposed
+		}
+	}
+}
+
+func (t term) commitBatch(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain) error {
+	batch, err := b.Batch(dotterhead.MostEntries)
+	if err != nil {
+		return err
+	}
+	var puts []dotterkey.Entry
+	for id, record := range batch.Records {
+		puts = append(puts, dotterkey.Entry{Key: dotterentry.ProgressKey(id), Value: record})
+	}
+	var deletes []string
+	for _, id := range batch.Expired {
+		deletes = append(deletes, dotterentry.JobKey(id), dotterentry.CancelKey(id), dotterentry.ProgressKey(id))
+	}
+	err = chain.Commit(ctx, puts, deletes)
+	if errors.Is(err, dotterhead.ErrStopped) && ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	b.Committed(batch)
+	return nil
+}
+
+// dispatch keeps the sessions with the workers. The owner falls silent when the
+// store has not confirmed it for longer than it may go on renewing leases.
+func (t term) dispatch(ctx context.Context, work *tomb.Tomb, b *dotterboard.Board, chain *dotterhead.Chain) error {
+	allowed := func() bool { return t.clock.Now()-chain.ConfirmedAt() < dotterboard.StaleOwnerSpan }
+	d := dotterdispatch.New(b, t.platform.Runs, t.clock, t.logger, allowed)
+	for ctx.Err() == nil {
+		d.Sync(ctx, work.Go)
+		select {
+		case <-ctx.Done():
+		case <-t.clock.After(syncSpan):
+		}
+	}
+	return nil
+}
+
+// inboxSink takes accepted jobs and cancellations into the board.
+type inboxSink struct {
+	term
+	board *dotterboard.Board
+}
+
+// Reset implements dotterreplica.Sink.
+func (s inboxSink) Reset(entries []dotterkey.Entry) {
+	s.accept(entries)
+	s.cancel(entries)
+}
+
+// Change implements dotterreplica.Sink.
+func (s inboxSink) Change(changes dotterkey.Changes) {
+	s.Reset(changes.Entries)
+}
+
+func (s inboxSink) accept(entries []dotterkey.Entry) {
+	for _, e := range entries {
+		id, cancel := dotterentry.ParseInboxKey(e.Key)
+		if cancel {
+			continue
+		}
+		var j dotterjob.Job
+		if err := json.Unmarshal(e.Value, &j); err != nil {
+			s.logger.Error("accepted job can't be read", zap.String("Job", string(id)), zap.Error(err))
+			continue
+		}
+		s.board.Accept(s.clock.Now(), wall()-j.AcceptedAt, j)
+	}
+}
+
+func (s inboxSink) cancel(entries []dotterkey.Entry) {
+	for _, e := range entries {
+		if id, cancel := dotterentry.ParseInboxKey(e.Key); cancel {
+			s.board.Cancel(s.clock.Now(), id)
+		}
+	}
+}
--- a/store.go
+++ b/store.go
@@ -19,6 +19,8 @@
 	// limit held the call back, which tells nothing about the store.
 	ErrStoreNotAsked    = eris.New("store: not asked, held back by this process's rate limit")
 	ErrStoreLeaseLapsed = eris.New("store: the lease has lapsed")
+	// ErrStoreCompacted means that a watch asked for changes that the store no longer keeps.
+	ErrStoreCompacted = eris.New("store: the history was compacted")
 )
 
 // Store is the platform's key-value service.
@@ -52,3 +54,20 @@
 	// Revoke ends lease and removes its keys.
 	Revoke(ctx context.Context, lease dotterkey.LeaseID) error
 }
+
+// TransactionalStore is a Store that changes several keys at once and whose
+// watches wait as long as they are told.
+type TransactionalStore interface {
+	Store
+
+	// WatchFor is Watch with a wait of at most span. It returns ErrStoreCompacted if
+	// the changes after the revision are no longer kept.
+	WatchFor(ctx context.Context, prefix string, after dotterkey.Revision, span dotterclock.Millis) (dotterkey.Changes, error)
+
+	// Commit carries the transaction out and returns the revision that all its
+	// keys get. With ErrStoreConflict it returns the entries of the expected keys
+	// as they are; a key that is absent has no entry. After ErrStoreIndeterminate
+	// the transaction may still take effect as long as its expectations hold, so
+	// only the same transaction may be tried again.
+	Commit(ctx context.Context, transaction dotterkey.Transaction) (dotterkey.Revision, []dotterkey.Entry, error)
+}
