Learn what filling images add to the load of serving ones

Cause: filling tasks were held back and paced wherever any serving task was near its target; they waited up to 20 s and serving tasks were still disturbed.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -21,18 +21,19 @@
 	logger   *zap.Logger
 	watchers []chan struct{} // each holds one token while something has changed
 
-	mu       sync.Mutex
-	document dotterqueues.Document
-	out      map[string]bool // failure domains in which nothing may start
-	jobs     map[dotterjob.ID]*job
-	open     []*job // jobs that are not final, in the order of arrival
-	dirty    []*job
-	workers  map[string]*worker
-	order    []*worker // workers by id, so that a plan does not depend on the map's order
-	deposed  bool
-	learned  learned
-	counters Counters
-	expired  []dotterjob.ID // final jobs whose record can go
+	mu        sync.Mutex
+	document  dotterqueues.Document
+	out       map[string]bool // failure domains in which nothing may start
+	jobs      map[dotterjob.ID]*job
+	open      []*job // jobs that are not final, in the order of arrival
+	dirty     []*job
+	workers   map[string]*worker
+	order     []*worker // workers by id, so that a plan does not depend on the map's order
+	deposed   bool
+	learned   learned
+	counters  Counters
+	waitLogAt dotterclock.Millis // when a waiting step was logged last
+	expired   []dotterjob.ID     // final jobs whose record can go
 }
 
 // New returns an empty board of the owner with the epoch.
@@ -229,6 +230,7 @@
 	t.phase, t.worker = bound, w
 	t.sealedAt, t.answeredAt, t.validUntil, t.stopping, t.stopAgain = 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
+	t.loadAt = 0
 	t.step.waiting--
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
--- /dev/null
+++ b/internal/job/dotterboard/control.go
@@ -0,0 +1,143 @@
+package dotterboard
+
+import (
+	"cmp"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
+
+const (
+	// loadHigh is the load of a serving task from which the tasks that press on it are
+	// moved; at 0.8 its tail is at its target.
+	loadHigh = 0.78
+	// loadEased is the load that is aimed at when tasks are moved, and below which
+	// paced tasks work on.
+	loadEased = 0.68
+	// guiltLimit is the least load that a task is moved for.
+	guiltLimit = 0.03
+	// pacedShare is what a task that can't move without losing its work may still do
+	// beside a serving task that it harms, in percent.
+	pacedShare = 10
+	// keptProgress is the progress, in percent, from which a task without checkpoints
+	// is paced rather than started again.
+	keptProgress = 30
+	// tailLogSpan keeps short excursions of a tail out of the logs.
+	tailLogSpan = 2 * dotterclock.Second
+	// standSpan is how long a task may make no progress before its worker is taken to
+	// have stalled: many times the span in which a task of the sizes seen gains a percent.
+	standSpan = 1500 * dotterclock.Millisecond
+	// standPart is the part of its declared run time that a task may stand still, for
+	// those that gain a percent in a longer time.
+	standPart = 20
+)
+
+// judge looks at what a listing tells of the worker's serving and standing tasks.
+func (b *Board) judge(now dotterclock.Millis, w *worker) {
+	var worst *task
+	for _, t := range w.runs {
+		if t.phase != running {
+			continue
+		}
+		if !t.step.Serves() {
+			b.watchProgress(now, w, t)
+			continue
+		}
+		b.learned.observe(now, w, t)
+		b.watchTail(now, t)
+		if worst == nil || ratio(t) > ratio(worst) {
+			worst = t
+		}
+	}
+	if worst != nil {
+		b.control(now, w, worst)
+	}
+}
+
+// watchTail logs when a serving task goes over its target and comes back.
+func (b *Board) watchTail(now dotterclock.Millis, t *task) {
+	over := ratio(t) > 1
+	switch {
+	case over && t.overSince == 0:
+		t.overSince = now
+	case !over && t.overSince != 0:
+		if now-t.overSince > tailLogSpan {
+			b.logger.Info("tail back below its target", b.runFields(t, zap.Int64("OverMs", int64(now-t.overSince)))...)
+		}
+		t.overSince = 0
+	}
+}
+
+// watchProgress stops tasks that stand still, so that they go on elsewhere.
+func (b *Board) watchProgress(now dotterclock.Millis, w *worker, t *task) {
+	stood := now - t.progressAt
+	if t.stopping || t.pace < 100 || t.step.Gang || t.step.LongRunning || stood < max(standSpan, t.step.Estimate/standPart) {
+		return
+	}
+	w.conduct.blame(now, 1)
+	b.stop(now, t, "no progress")
+}
+
+// control moves the filling tasks that press most on the worker's worst served task
+// until it is predicted to be eased. What that does shows only after the tails have
+// been measured again.
+func (b *Board) control(now dotterclock.Millis, w *worker, worst *task) {
+	load := loadOf(ratio(worst))
+	if load < loadEased {
+		b.unpace(w)
+		return
+	}
+	if load < loadHigh || now-w.movedAt < settleSpan {
+		return
+	}
+	var pressing []pressure
+	for _, t := range w.runs {
+		if t.phase != running || !t.step.Fills || t.stopping || t.pace <= pacedShare {
+			continue
+		}
+		e := b.learned.effect(now, w, worst, &t.step.Step, use(now, t))
+		if guilt := e.Cautious(doubtWeight); guilt > guiltLimit {
+			pressing = append(pressing, pressure{t, guilt})
+		}
+	}
+	slices.SortFunc(pressing, func(a, b pressure) int {
+		return cmp.Or(cmp.Compare(b.guilt, a.guilt), cmp.Compare(a.task.id().String(), b.task.id().String()))
+	})
+	for _, p := range pressing {
+		if load < loadEased {
+			return
+		}
+		load -= p.guilt
+		w.movedAt = now
+		b.logger.Info("filling task presses on a serving task", b.runFields(p.task, zap.String("Serving", worst.id().String()),
+			zap.Int64("TailMs", int64(worst.tail)), zap.Int64("TargetMs", int64(worst.step.TailTarget)),
+			zap.String("ServingImage", worst.step.Image), zap.String("FillingImage", p.task.step.Image), zap.Float64("Guilt", p.guilt))...)
+		if p.task.step.Checkpoints || p.task.progress < keptProgress {
+			b.stop(now, p.task, "presses on a serving task")
+		} else {
+			b.setPace(w, p.task, pacedShare)
+		}
+	}
+}
+
+// pressure is a filling task and what it may add to the load of a serving one.
+type pressure struct {
+	task  *task
+	guilt float64
+}
+
+// unpace lets paced tasks work on.
+func (b *Board) unpace(w *worker) {
+	for _, t := range w.runs {
+		if t.phase == running && !t.stopping && t.pace < 100 && t.pace == t.paceWanted {
+			b.setPace(w, t, 100)
+		}
+	}
+}
+
+func (b *Board) setPace(w *worker, t *task, percent int) {
+	t.paceWanted = percent
+	w.send(&Order{kind: orderPace, task: t, ref: t.ref()})
+}
--- a/internal/job/dotterboard/learned.go
+++ b/internal/job/dotterboard/learned.go
@@ -1,63 +1,104 @@
 package dotterboard
 
 import (
+	"math"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
 
 const (
-	// ownLoad names the part of a serving task's tail that it causes itself.
-	ownLoad = "own"
 	// modelTerms bounds the interference model: some hundred images, each with each other.
 	modelTerms = 1 << 14
 	// settleSpan is how long a reported tail still shows the time before a change:
 	// workers report the tail of the last half second.
-	settleSpan = 600 * dotterclock.Millisecond
+	settleSpan = 700 * dotterclock.Millisecond
+	// quietTail is the tail of a serving task without load, in targets: services set
+	// their targets at about five times of it.
+	quietTail = 0.2
+	// cappedLoad is the load from which a tail tells only that the task is overloaded.
+	cappedLoad = 0.93
+	// usualLoad and usualDeviation are what is assumed of a serving task's own load.
+	usualLoad      = 0.45
+	usualDeviation = 0.2
+	// loadDrift is the variance that a serving task's own load gains in a second: it
+	// swings by about half within some seconds.
+	loadDrift = 0.004
 )
 
+// pairPrior says that images disturb each other by pairs: most pairs not at all,
+// some by several times their share of the host. Nothing is shared between victims.
+func pairPrior() dotterinterference.Prior {
+	return dotterinterference.Prior{
+		PerShare: 0.4, GeneralVariance: 1e-6, SpecificVariance: 4,
+		NoiseVariance: 0.003, ExcessNoise: 0, UnsettledNoise: 4, ForgetSpan: 300 * dotterclock.Second,
+	}
+}
+
 // learned is what the board has learned about images beside each other.
 //
-// The model's unit is the target: a tail at its target is an excess of 1.
+// A serving task's tail grows with its load as in a queue, as quietTail/(1-load). The
+// load is its own, which swings, and what filling tasks beside it add: their share of
+// the host times a factor of the two images. Loads add up, tails don't, so the model
+// is of loads.
 type learned struct {
 	model *dotterinterference.Model
 }
 
 func newLearned() learned {
-	return learned{model: dotterinterference.New(modelTerms)}
+	return learned{model: dotterinterference.NewWithPrior(modelTerms, pairPrior())}
+}
+
+// loadOf returns the load that a tail of so many targets tells of.
+func loadOf(ratio float64) float64 {
+	return max(0, 1-quietTail/max(ratio, quietTail))
+}
+
+// share returns the part of the worker that a filling task uses.
+func share(now dotterclock.Millis, w *worker, t *task) float64 {
+	return float64(use(now, t)) / float64(max(1, w.Capacity.MilliCores))
 }
 
 // observe takes in the tail of a serving task beside the others on its worker.
 func (l learned) observe(now dotterclock.Millis, w *worker, victim *task) {
-	beside := map[string]*dotterinterference.Corunner{}
-	settled := now-victim.startedAt > settleSpan
+	load := loadOf(ratio(victim))
+	s := dotterinterference.Sample{
+		At: now, Victim: victim.step.Image, Slowdown: 1 + load, Capped: load > cappedLoad,
+		Own: victim.ownLoad(now),
+	}
+	beside := map[string]float64{}
 	for _, t := range w.runs {
-		if t == victim || t.phase != running || t.step.Image == "" || t.pace == 0 {
+		if t.phase != running || !t.step.Fills || t.step.Image == "" {
 			continue
 		}
-		if now-t.startedAt < settleSpan {
-			settled = false
-		}
-		c, ok := beside[t.step.Image]
-		if !ok {
-			c = &dotterinterference.Corunner{Template: t.step.Image, Share: t.step.Size.DominantShare(w.Capacity)}
-			beside[t.step.Image] = c
+		if now-t.startedAt < settleSpan || now-t.pacedAt < settleSpan {
+			s.Unsettled = true
 		}
-		c.Weight += float64(t.pace) / 100
+		beside[t.step.Image] += share(now, w, t)
 	}
-	s := dotterinterference.Sample{
-		At: now, Victim: victim.step.Image, Slowdown: 1 + ratio(victim), Unsettled: !settled,
-		Corunners: []dotterinterference.Corunner{{Template: ownLoad, Weight: 1}},
+	for image, share := range beside {
+		s.Corunners = append(s.Corunners, dotterinterference.Corunner{Template: image, Weight: share, Share: 1})
 	}
-	for _, c := range beside {
-		s.Corunners = append(s.Corunners, *c)
+	victim.load, victim.loadAt = l.model.Observe(s), now
+}
+
+// ownLoad returns what is known of a serving task's own load by now.
+func (t *task) ownLoad(now dotterclock.Millis) dotterinterference.Estimate {
+	usual := dotterinterference.Estimate{Mean: usualLoad, Deviation: usualDeviation}
+	if t.loadAt == 0 {
+		return usual
 	}
-	l.model.Observe(s)
+	variance := t.load.Deviation*t.load.Deviation + loadDrift*(now-t.loadAt).Seconds()
+	return dotterinterference.Estimate{Mean: min(1, max(0, t.load.Mean)), Deviation: min(usualDeviation, math.Sqrt(variance))}
 }
 
-// effect returns what one more task of the step adds to the tail of the victim, in targets.
-func (l learned) effect(now dotterclock.Millis, w *worker, victim *task, s *dotterjob.Step) float64 {
-	return l.model.Predict(now, victim.step.Image, s.Image, s.Size.DominantShare(w.Capacity)).Mean
+// effect returns what a task of the step that uses so much processor time adds to the
+// load of the victim on the worker.
+func (l learned) effect(now dotterclock.Millis, w *worker, victim *task, s *dotterjob.Step, used int64) dotterinterference.Estimate {
+	e := l.model.Predict(now, victim.step.Image, s.Image, 1)
+	share := float64(used) / float64(max(1, w.Capacity.MilliCores))
+	return dotterinterference.Estimate{Mean: e.Mean * share, Deviation: e.Deviation * share}
 }
 
 // ratio returns a serving task's tail over its target.
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -122,7 +122,7 @@
 		t.stopAgain = now + startSpan
 	case orderPace:
 		if err == nil && answer.Refused == dotterrun.NotRefused {
-			t.pace = o.Pace.Percent
+			t.pace, t.pacedAt = o.Pace.Percent, now
 		} else {
 			t.paceWanted = t.pace
 		}
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -35,7 +35,7 @@
 	}
 	for _, w := range b.order {
 		if len(w.Service) > 0 && w.asked {
-			p.loads[w.Service] = append(p.loads[w.Service], newLoad(w))
+			p.loads[w.Service] = append(p.loads[w.Service], newLoad(now, w))
 		}
 	}
 	blocked := map[blockedKey]bool{}
@@ -128,7 +128,7 @@
 func (p *plan) bind(t *task, l *load) {
 	p.board.bind(t, l.worker)
 	l.worker.conduct.chosen(p.now)
-	l.add(t)
+	l.add(p.now, t)
 }
 
 // placeGang binds all tasks of a gang or none.
@@ -176,7 +176,7 @@
 	p.board.release(t)
 	for i, l := range p.loads[w.Service] {
 		if l.worker == w {
-			p.loads[w.Service][i] = newLoad(w)
+			p.loads[w.Service][i] = newLoad(p.now, w)
 		}
 	}
 }
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -4,6 +4,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
 
 // phase is how far the current run of a task has come.
@@ -45,6 +46,9 @@
 	overSince  dotterclock.Millis // serving: since when the tail is over the target; 0: it is not
 	pace       int                // percent that is in force
 	paceWanted int
+	pacedAt    dotterclock.Millis          // when the pace changed last
+	load       dotterinterference.Estimate // serving: the load that it causes itself
+	loadAt     dotterclock.Millis
 }
 
 // id returns the task's name.
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -27,6 +27,7 @@
 	unsaved    []*end             // ends that are not acknowledged, by number
 	ackUntil   int64
 	conduct    conduct
+	movedAt    dotterclock.Millis // when tasks were last moved for a serving one
 }
 
 // end is a run's end on its way to the store.
--- a/internal/placement/dotterinterference/model.go
+++ b/internal/placement/dotterinterference/model.go
@@ -1,6 +1,7 @@
 package dotterinterference
 
 import (
+	"math"
 	"sync"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -10,27 +11,14 @@
 	// DefaultLimit is the number of terms that a Model keeps at most.
 	DefaultLimit = 1 << 15
 
-	// priorPerShare is the effect predicted for a co-runner that holds a whole host.
-	priorPerShare = 0.5
-
-	generalVariance  = 0.04
-	specificVariance = 0.04
-
-	// noiseVariance is that of one report of a settled worker.
-	noiseVariance = 0.04
-
-	// unsettledNoise multiplies noiseVariance for a worker that was changing.
-	unsettledNoise = 8
-
-	// forgetSpan is the time after which a term without reports is as uncertain as at first.
-	forgetSpan = 30 * 60 * dotterclock.Second
-
 	// largestExcess bounds what one report can claim, so that a single absurd one does little.
 	largestExcess = 20
 )
 
 // Model is the learned effects of templates on each other, safe for concurrent use.
 type Model struct {
+	prior Prior
+
 	mu    sync.RWMutex
 	limit int
 	terms []term
@@ -48,10 +36,15 @@
 
 // New returns a Model that keeps at most limit terms; 0 means DefaultLimit.
 func New(limit int) *Model {
+	return NewWithPrior(limit, DefaultPrior())
+}
+
+// NewWithPrior is New with what is assumed before anything is learned.
+func NewWithPrior(limit int, prior Prior) *Model {
 	if limit <= 0 {
 		limit = DefaultLimit
 	}
-	return &Model{limit: limit, index: make(map[key]int32)}
+	return &Model{prior: prior, limit: limit, index: make(map[key]int32)}
 }
 
 // Len returns the number of terms learned.
@@ -66,7 +59,7 @@
 func (m *Model) Predict(now dotterclock.Millis, victim, aggressor string, share float64) Estimate {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	mean := priorPerShare * share
+	mean := m.prior.PerShare * share
 	general, generalVar := m.look(now, key{"", aggressor})
 	specific, specificVar := m.look(now, key{victim, aggressor})
 	return newEstimate(mean+general+specific, generalVar+specificVar)
@@ -75,35 +68,41 @@
 func (m *Model) look(now dotterclock.Millis, k key) (mean, variance float64) {
 	position, ok := m.index[k]
 	if !ok {
-		return 0, k.variancePrior()
+		return 0, m.prior.variance(k)
 	}
 	t := &m.terms[position]
-	return t.mean, t.aged(now)
+	return t.mean, t.aged(now, m.prior)
 }
 
-// Observe takes in one report.
-func (m *Model) Observe(s Sample) {
-	if len(s.Corunners) == 0 {
-		return
+// Observe takes in one report and returns what is now known of the victim's own part.
+func (m *Model) Observe(s Sample) Estimate {
+	if len(s.Corunners) == 0 && s.Own == (Estimate{}) {
+		return s.Own
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step = m.step[:0]
-	predicted := 0.0
+	predicted := s.Own.Mean
 	for _, c := range s.Corunners {
-		predicted += c.Weight * priorPerShare * c.Share
+		predicted += c.Weight * m.prior.PerShare * c.Share
 		predicted += m.contribute(s.At, key{"", c.Template}, c.Weight)
 		predicted += m.contribute(s.At, key{s.Victim, c.Template}, c.Weight)
 	}
 	excess := min(max(0, s.Slowdown-1), largestExcess)
-	m.correct(s.At, excess-predicted, noise(s, excess))
+	surprise := excess - predicted
+	if s.Capped && surprise < 0 {
+		return s.Own
+	}
+	variance := s.Own.Deviation * s.Own.Deviation
+	gain := m.correct(s.At, surprise, m.noise(s, excess), variance)
+	return Estimate{Mean: s.Own.Mean + gain*surprise, Deviation: math.Sqrt(variance * (1 - gain))}
 }
 
 // noise returns the variance of a report; that of large slowdowns is larger.
-func noise(s Sample, excess float64) float64 {
-	variance := noiseVariance * (1 + excess*excess)
+func (m *Model) noise(s Sample, excess float64) float64 {
+	variance := m.prior.NoiseVariance * (1 + m.prior.ExcessNoise*excess*excess)
 	if s.Unsettled {
-		variance *= unsettledNoise
+		variance *= m.prior.UnsettledNoise
 	}
 	return variance
 }
@@ -112,13 +111,14 @@
 func (m *Model) contribute(now dotterclock.Millis, k key, weight float64) float64 {
 	position := m.place(now, k)
 	t := &m.terms[position]
-	m.step = append(m.step, contribution{position: position, weight: weight, variance: t.aged(now)})
+	m.step = append(m.step, contribution{position: position, weight: weight, variance: t.aged(now, m.prior)})
 	return weight * t.mean
 }
 
-// correct spreads surprise over the terms of this step by their uncertainty.
-func (m *Model) correct(now dotterclock.Millis, surprise, noise float64) {
-	total := noise
+// correct spreads surprise over the terms of this step by their uncertainty; it
+// returns the part that goes to the victim's own, which has the variance own.
+func (m *Model) correct(now dotterclock.Millis, surprise, noise, own float64) float64 {
+	total := noise + own
 	for _, c := range m.step {
 		total += c.weight * c.weight * c.variance
 	}
@@ -129,6 +129,7 @@
 		t.variance = c.variance * (1 - gain*c.weight)
 		t.at = max(t.at, now)
 	}
+	return own / total
 }
 
 // place returns the position of the term under k, and makes one if there is none.
@@ -137,7 +138,7 @@
 		m.terms[position].touched = true
 		return position
 	}
-	fresh := term{key: k, variance: k.variancePrior(), at: now}
+	fresh := term{key: k, variance: m.prior.variance(k), at: now}
 	if len(m.terms) < m.limit {
 		m.terms = append(m.terms, fresh)
 		position := int32(len(m.terms) - 1)
--- a/internal/placement/dotterinterference/sample.go
+++ b/internal/placement/dotterinterference/sample.go
@@ -8,7 +8,9 @@
 	Victim    string             // template
 	Slowdown  float64            // 1 is undisturbed
 	Corunners []Corunner
-	Unsettled bool // the co-runners changed at about the time of the measurement
+	Unsettled bool     // the co-runners changed at about the time of the measurement
+	Own       Estimate // the part that the victim causes itself, as far as its reader knows; zero: none
+	Capped    bool     // the true slowdown may be larger
 }
 
 // Corunner is the tasks of one template that ran beside a victim.
--- a/internal/placement/dotterinterference/term.go
+++ b/internal/placement/dotterinterference/term.go
@@ -16,17 +16,9 @@
 	victim, aggressor string
 }
 
-// variancePrior returns the variance of a term on which nothing is known.
-func (k key) variancePrior() float64 {
-	if k.victim == "" {
-		return generalVariance
-	}
-	return specificVariance
-}
-
 // aged returns the variance of t at now: it returns to the prior's with time.
-func (t *term) aged(now dotterclock.Millis) float64 {
-	prior := t.key.variancePrior()
+func (t *term) aged(now dotterclock.Millis, assumed Prior) float64 {
+	prior := assumed.variance(t.key)
 	elapsed := max(0, now-t.at)
-	return min(prior, t.variance+prior*float64(elapsed)/float64(forgetSpan))
+	return min(prior, t.variance+prior*float64(elapsed)/float64(assumed.ForgetSpan))
 }
