Wait for a predecessor's leases no longer than needed; tell lives of a worker apart

Each takeover of a rolling restart began a new wait of 18 s, 12 of them for an owner that might still renew leases. A random test of the board on workers in memory then found two more: an acknowledgement meant for a worker's former life forgot ends of the new one, and a run that had begun in the new life was given up with those of the old one. Mend: an owner that has let go is silent, any other falls silent 3 s after its last confirmed commit, and the successor counts from the commit it saw last; ends are not acknowledged while a worker's clock or silence tells of a new life; a run is lost with a life only if a listing of that life has shown it. Ruled out: taking a worker that left the directory for dead (one that is cut off leaves it too, and runs on).

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -18,6 +18,7 @@
 	settings Settings
 	epoch    int64
 	began    dotterclock.Millis // when this owner took the shard over
+	former   dotterclock.Millis // until when its predecessor may have renewed leases
 	logger   *zap.Logger
 	watchers []chan struct{} // each holds one token while something has changed
 
@@ -36,10 +37,11 @@
 	expired   []dotterjob.ID     // final jobs whose record can go
 }
 
-// New returns an empty board of the owner with the epoch.
-func New(settings Settings, epoch int64, now dotterclock.Millis, logger *zap.Logger) *Board {
+// New returns an empty board of the owner with the epoch, whose predecessor may go
+// on renewing leases until the instant former.
+func New(settings Settings, epoch int64, now, former dotterclock.Millis, logger *zap.Logger) *Board {
 	return &Board{
-		settings: settings, epoch: epoch, began: now, logger: logger,
+		settings: settings, epoch: epoch, began: now, former: former, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, out: map[string]bool{}, learned: newLearned(), counters: newCounters(),
 	}
 }
@@ -230,7 +232,7 @@
 	t.phase, t.worker = bound, w
 	t.sealedAt, t.answeredAt, t.validUntil, t.stopping, t.stopAgain = 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
-	t.loadAt = 0
+	t.loadAt, t.bornAt = 0, 0
 	t.step.waiting--
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
--- /dev/null
+++ b/internal/job/dotterboard/faults_test.go
@@ -0,0 +1,94 @@
+package dotterboard
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// TestPromisesHoldUnderFaults lets random faults come over a shard and checks on the
+// workers that no promise is broken, and that every job ends once the faults do.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	const workers = 5
+	rapid.Check(t, func(r *rapid.T) {
+		s := newShard(t, workers)
+		s.run(100)
+		worker := func() string { return testWorker(rapid.IntRange(0, workers-1).Draw(r, "worker")).ID }
+		var ids []dotterjob.ID
+		cancelled := map[dotterjob.ID]bool{}
+		deposed := false
+		actions := map[string]func(){
+			"submit":   func() { ids = append(ids, s.submit(len(ids)+1, drawSteps(r)...)) },
+			"dark":     func() { s.pool.SetDark(worker(), true) },
+			"light":    func() { s.pool.SetDark(worker(), false) },
+			"restart":  func() { s.pool.Restart(worker()) },
+			"drain":    func() { s.pool.SetDraining(worker(), rapid.Bool().Draw(r, "draining")) },
+			"lose":     func() { s.pool.LoseAnswers(worker(), 2) },
+			"delay":    func() { s.pool.Delay(worker(), 2) },
+			"deliver":  func() { s.pool.Deliver() },
+			"store":    func() { s.storing = rapid.Bool().Draw(r, "storing") },
+			"takeover": func() { s.takeOver(dotterclock.Millis(rapid.IntRange(0, 3000).Draw(r, "span"))); deposed = true },
+			"cancel": func() {
+				if len(ids) > 0 {
+					id := ids[rapid.IntRange(0, len(ids)-1).Draw(r, "job")]
+					s.board.Cancel(s.clock.Now(), id)
+					cancelled[id] = true
+				}
+			},
+		}
+		names := []string{"submit", "submit", "submit", "dark", "light", "restart", "drain", "lose", "delay", "deliver", "store", "takeover", "cancel"}
+		for range rapid.IntRange(10, 40).Draw(r, "actions") {
+			actions[rapid.SampledFrom(names).Draw(r, "action")]()
+			s.run(dotterclock.Millis(rapid.IntRange(0, 60).Draw(r, "pause") * 10))
+			require.Empty(r, s.pool.Faults())
+		}
+		s.storing = true
+		for i := range workers {
+			s.pool.SetDark(testWorker(i).ID, false)
+			s.pool.SetDraining(testWorker(i).ID, false)
+		}
+		s.pool.Deliver()
+		for end := s.clock.Now() + 60_000; s.clock.Now() < end && !s.over(ids); {
+			s.run(100)
+		}
+		require.Empty(r, s.pool.Faults())
+		for _, id := range ids {
+			// A cancellation that only a deposed owner knew is not in this store.
+			if state := s.state(id); !state.Final() && !(cancelled[id] && deposed) {
+				require.Failf(r, "a job does not end", "%s is %s", id, state)
+			}
+		}
+	})
+}
+
+func (s *shard) over(ids []dotterjob.ID) bool {
+	for _, id := range ids {
+		if !s.state(id).Final() {
+			return false
+		}
+	}
+	return true
+}
+
+func drawSteps(r *rapid.T) []dotterjob.Step {
+	var steps []dotterjob.Step
+	for i := range rapid.IntRange(1, 3).Draw(r, "steps") {
+		s := dotterjob.Step{
+			Count:       rapid.IntRange(1, 5).Draw(r, "count"),
+			Estimate:    dotterclock.Millis(rapid.IntRange(50, 1500).Draw(r, "span")),
+			Size:        dotterroom.Room{MilliCores: int64(rapid.IntRange(1, 30).Draw(r, "cores")) * 1000, MemoryMB: 20_000},
+			Checkpoints: rapid.Bool().Draw(r, "checkpoints"),
+			Fills:       rapid.Bool().Draw(r, "fills"),
+		}
+		if i > 0 && rapid.Bool().Draw(r, "after") {
+			s.After = []int{i - 1}
+		}
+		steps = append(steps, s)
+	}
+	return steps
+}
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -16,7 +16,7 @@
 	if !ok || (!w.listed && len(w.runs) == 0) {
 		return dotterrun.Renewal{}, false
 	}
-	r := dotterrun.Renewal{Epoch: b.epoch, AcknowledgedUntil: w.ackUntil}
+	r := dotterrun.Renewal{Epoch: b.epoch, AcknowledgedUntil: w.acknowledged()}
 	// A worker that did not answer gets no longer lease: its runs are to lapse in a
 	// known time, whether or not it hears of the renewals.
 	if w.asked && w.failedAt == 0 {
@@ -65,7 +65,7 @@
 	if w.Born != l.Born {
 		b.replaceLife(now, w, l.Born)
 	}
-	w.asked, w.failedAt, w.heardAt = true, 0, now
+	w.asked, w.failedAt, w.doubted, w.heardAt = true, 0, false, now
 	w.clock, w.clockAt = l.Clock, now
 	for _, e := range l.Ended {
 		if e.Number > w.taken {
@@ -103,11 +103,11 @@
 	}
 	b.logger.Info("worker restarted", zap.String("Worker", w.ID), zap.Int("Runs", len(w.runs)), zap.Int64("Born", int64(born)))
 	for _, t := range w.runs {
-		switch t.phase {
-		case running:
+		switch {
+		case t.phase == running && t.bornAt == former:
 			b.lose(now, t, "the worker restarted")
-		case ordered, uncertain:
-			// The order may still reach the new life, which knows nothing of its lease.
+		case t.phase == running, t.phase == ordered, t.phase == uncertain:
+			// The order may have reached the new life, or still reach it.
 			t.phase, t.validUntil = uncertain, 0
 		}
 	}
@@ -123,6 +123,7 @@
 	if t.phase != running {
 		b.begun(now, t)
 	}
+	t.bornAt = w.Born
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -88,7 +88,6 @@
 			return false
 		}
 		t.validUntil = w.clockNow(now) + startSpan
-		t.bornAt = w.Born
 		w.leaseUntil = max(w.leaseUntil, t.validUntil)
 		o.Start = &dotterrun.Start{
 			Ref: o.ref, Epoch: b.epoch, Until: t.validUntil,
@@ -104,6 +103,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	defer b.notify()
+	if w, ok := b.workers[o.Worker.ID]; ok {
+		if err != nil {
+			w.doubted = true
+		} else {
+			w.hear(now, answer.Clock)
+		}
+	}
 	if answer.Refused == dotterrun.RefusedEpoch {
 		b.deposed = true
 		return
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -21,12 +21,6 @@
 	// heardSpan is how fresh a worker's listing must be for new starts: one waiting
 	// renewal and its answer.
 	heardSpan = 2500 * dotterclock.Millisecond
-	// predecessorSpan is how long a predecessor that has lost the store may go on renewing leases.
-	predecessorSpan = StaleOwnerSpan
 	// lapseMargin covers the granularity of both clocks.
 	lapseMargin = 100 * dotterclock.Millisecond
 )
-
-// StaleOwnerSpan is how long an owner goes on renewing leases without a sign from
-// the store that it still is the owner; it outlasts the store's usual outages.
-const StaleOwnerSpan = 12 * dotterclock.Second
--- /dev/null
+++ b/internal/job/dotterboard/shard_test.go
@@ -0,0 +1,223 @@
+package dotterboard
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterstandpool"
+)
+
+const (
+	testQueue   = "callers.example/quick/"
+	lowQueue    = "callers.example/slow/"
+	testService = "pool"
+	testLease   = 6 * dotterclock.Second
+)
+
+var testSettings = Settings{
+	LeaseSpan: testLease, StopSpan: 400, HarmSpan: 4000, RetainSpan: 120_000, ReturnSpan: 2500, RemoteSlowdown: 3,
+}
+
+// shard is a board, what the store has of it, and a pool of workers, on a clock that
+// only the test moves.
+type shard struct {
+	t        *testing.T
+	clock    *dotterclock.Manual
+	pool     *dotterstandpool.Pool
+	board    *Board
+	epoch    int64
+	accepted []dotterjob.Job
+	stored   map[dotterjob.ID][]byte
+	storing  bool // the store answers
+	asked    map[string]dotterclock.Millis
+}
+
+func newShard(t *testing.T, workers int) *shard {
+	s := &shard{
+		t: t, clock: dotterclock.NewManual(1_000_000), stored: map[dotterjob.ID][]byte{}, storing: true,
+	}
+	s.pool = dotterstandpool.New(s.clock, testLease)
+	for i := range workers {
+		s.pool.Add(testWorker(i))
+	}
+	s.takeOver(0)
+	return s
+}
+
+func testWorker(i int) dotterworker.Worker {
+	return dotterworker.Worker{
+		ID: fmt.Sprintf("w%02d", i), Address: fmt.Sprintf("10.0.0.%d:1", i+1), Service: testService,
+		FailureDomain: string(rune('a' + i%3)), Rack: fmt.Sprintf("r%d", i/2), Labels: []string{"kind", fmt.Sprintf("r%d", i/2)},
+		Capacity: dotterroom.Room{MilliCores: 64_000, MemoryMB: 250_000},
+	}
+}
+
+func testDocument() dotterqueues.Document {
+	return dotterqueues.NewDocument(7, []dotterqueues.Queue{
+		{Host: "callers.example", Prefix: "/quick/", Service: testService, MaxAttempts: 2, Stretch: 1.5, Target: 250},
+		{Host: "callers.example", Prefix: "/slow/", Service: testService, Rank: 2, MaxAttempts: 2, Stretch: 2, Target: 1000},
+	}, map[string]dotterqueues.Service{testService: {Guarded: true}}, dotterqueues.Limits{})
+}
+
+// takeOver replaces the owner by one whose predecessor may renew leases for span longer.
+func (s *shard) takeOver(span dotterclock.Millis) {
+	s.epoch++
+	now := s.clock.Now()
+	s.board = New(testSettings, s.epoch, now, now+span, zap.NewNop())
+	s.board.Configure(testDocument(), map[string]bool{})
+	for _, j := range s.accepted {
+		s.board.Accept(now, now-j.AcceptedAt, j)
+	}
+	for id, record := range s.stored {
+		require.NoError(s.t, s.board.Restore(now, id, record))
+	}
+	s.asked = map[string]dotterclock.Millis{}
+}
+
+// submit accepts a job of the steps.
+func (s *shard) submit(number int, steps ...dotterjob.Step) dotterjob.ID {
+	return s.submitTo(testQueue, number, steps...)
+}
+
+func (s *shard) submitTo(queue string, number int, steps ...dotterjob.Step) dotterjob.ID {
+	j := dotterjob.Job{
+		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: queue, AcceptedAt: s.clock.Now(), Spec: fmt.Sprintf("spec %d", number), Steps: steps,
+	}
+	require.NoError(s.t, j.Check())
+	s.pool.Expect(j)
+	s.accepted = append(s.accepted, j)
+	s.board.Accept(s.clock.Now(), 0, j)
+	return j.ID
+}
+
+// run lets span pass in steps of 10 ms.
+func (s *shard) run(span dotterclock.Millis) {
+	const step = 10 * dotterclock.Millisecond
+	for range span / step {
+		s.turn()
+		s.clock.Advance(step)
+	}
+	s.turn()
+}
+
+// until runs until the condition holds, at most span.
+func (s *shard) until(span dotterclock.Millis, condition func() bool) {
+	s.t.Helper()
+	for end := s.clock.Now() + span; s.clock.Now() < end; s.run(10) {
+		if condition() {
+			return
+		}
+	}
+	require.Fail(s.t, "the condition does not hold in time")
+}
+
+// turn lets the owner do once what it does all the time.
+func (s *shard) turn() {
+	now := s.clock.Now()
+	s.board.Directory(now, s.pool.Listed())
+	for _, w := range s.board.Sessions() {
+		s.renew(w)
+	}
+	s.board.Plan(now, now)
+	s.commit()
+	for _, w := range s.board.Sessions() {
+		for {
+			o, ok := s.board.Next(now, w.ID)
+			if !ok {
+				break
+			}
+			s.give(o)
+		}
+	}
+}
+
+// renew asks a worker each 100 ms: at once when one of its runs has ended, on the platform.
+func (s *shard) renew(w dotterworker.Worker) {
+	now := s.clock.Now()
+	if at, ok := s.asked[w.ID]; ok && now-at < 100 {
+		return
+	}
+	s.asked[w.ID] = now
+	renewal, ok := s.board.Renewal(now, w.ID)
+	if !ok {
+		return
+	}
+	renewal.Wait = 0
+	listing, err := s.pool.Renew(context.Background(), w, renewal)
+	if err != nil {
+		s.board.Silent(now, w.ID, err)
+		return
+	}
+	s.board.Listed(now, now, w.ID, listing)
+}
+
+func (s *shard) commit() {
+	for s.storing && s.board.Dirty() {
+		batch, err := s.board.Batch(30)
+		require.NoError(s.t, err)
+		maps.Copy(s.stored, batch.Records)
+		s.board.Committed(batch)
+	}
+}
+
+func (s *shard) give(o *Order) {
+	ctx := context.Background()
+	switch {
+	case o.Start != nil:
+		a, err := s.pool.Start(ctx, o.Worker, *o.Start)
+		s.board.Answered(s.clock.Now(), o, a, err)
+	case o.Stop != nil:
+		a, err := s.pool.Stop(ctx, o.Worker, *o.Stop)
+		s.board.Answered(s.clock.Now(), o, a, err)
+	case o.Pace != nil:
+		a, err := s.pool.Pace(ctx, o.Worker, *o.Pace)
+		s.board.Answered(s.clock.Now(), o, a, err)
+	}
+}
+
+// state returns a job's state.
+func (s *shard) state(id dotterjob.ID) dotterjob.State {
+	state, ok := s.board.State(id)
+	require.True(s.t, ok, "job %s is not known", id)
+	return state
+}
+
+func (s *shard) is(id dotterjob.ID, state dotterjob.State) func() bool {
+	return func() bool { return s.state(id) == state }
+}
+
+// workersOf returns the workers on which tasks of the job are at work, sorted.
+func (s *shard) workersOf(id dotterjob.ID) []string {
+	var ids []string
+	for worker, runs := range s.pool.Running() {
+		for _, r := range runs {
+			if r.Task.Job == id {
+				ids = append(ids, worker)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// kept requires that no promise was broken.
+func (s *shard) kept() {
+	s.t.Helper()
+	require.Empty(s.t, s.pool.Faults())
+}
+
+// tasks returns a step of count tasks that run for span.
+func tasks(count int, span dotterclock.Millis) dotterjob.Step {
+	return dotterjob.Step{Count: count, Estimate: span, Size: dotterroom.Room{MilliCores: 4000, MemoryMB: 8000}}
+}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -36,7 +36,7 @@
 	sealedAt   dotterclock.Millis // when a stop of this run was answered; 0: never
 	stopping   bool               // a stop is ordered
 	stopAgain  dotterclock.Millis // when an unanswered stop is repeated
-	bornAt     dotterclock.Millis // life of the worker that the start was sent to
+	bornAt     dotterclock.Millis // life of the worker that has listed the run; 0: none has
 
 	startedAt  dotterclock.Millis
 	progress   int
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -23,6 +23,7 @@
 	leaseUntil dotterclock.Millis // latest lease sent, on the worker's clock
 	heardAt    dotterclock.Millis
 	failedAt   dotterclock.Millis // first renewal without an answer since heardAt; 0: none
+	doubted    bool               // it may have begun a new life since heardAt
 	taken      int64              // highest end taken in
 	unsaved    []*end             // ends that are not acknowledged, by number
 	ackUntil   int64
@@ -55,10 +56,32 @@
 	return w.clock + now - w.clockAt
 }
 
-// lapsedAt returns when everything on the worker has surely lost its lease.
-func (w *worker) lapsedAt(s Settings, takenOver dotterclock.Millis) dotterclock.Millis {
+// clockTolerance is how far a worker's clock may be from the estimate before it is
+// taken to be that of a new life, even if it has not gone back: above the delay of an answer and what a clock that
+// is 2% slow loses between two listings.
+const clockTolerance = 1200 * dotterclock.Millisecond
+
+// hear compares the clock in the worker's answer to an order with the estimate.
+func (w *worker) hear(now, clock dotterclock.Millis) {
+	if off := clock - w.clockNow(now); clock < w.clock || off > clockTolerance || off < -clockTolerance {
+		w.doubted = true
+	}
+}
+
+// acknowledged returns the number up to which ends may be forgotten. It says nothing
+// to what may be a new life, whose ends have the same numbers.
+func (w *worker) acknowledged() int64 {
+	if w.doubted || w.failedAt != 0 {
+		return 0
+	}
+	return w.ackUntil
+}
+
+// lapsedAt returns when everything on the worker has surely lost its lease. A
+// predecessor may have renewed it until the instant former.
+func (w *worker) lapsedAt(s Settings, former dotterclock.Millis) dotterclock.Millis {
 	if !w.asked {
-		return takenOver + predecessorSpan + stretched(s.LeaseSpan) + lapseMargin
+		return former + stretched(s.LeaseSpan) + lapseMargin
 	}
 	left := max(0, w.leaseUntil-w.clock)
 	return w.clockAt + stretched(left) + lapseMargin
--- a/internal/job/dotterhead/chain.go
+++ b/internal/job/dotterhead/chain.go
@@ -28,6 +28,11 @@
 	retrySpan = 60 * dotterclock.Millisecond
 )
 
+// StaleSpan is how long an owner may go on giving orders without a commit that the
+// store has confirmed. With the leases of what runs, it outlasts the store's usual
+// outages of some seconds; a successor waits for it where it can't reach a worker.
+const StaleSpan = 3 * dotterclock.Second
+
 // Chain is the commits of one owner. One goroutine at a time may commit.
 type Chain struct {
 	store       dotterelusher.TransactionalStore
@@ -36,6 +41,7 @@
 	logger      *zap.Logger
 	head        Head
 	version     dotterkey.Version
+	former      dotterclock.Millis
 	confirmedAt atomic.Int64
 }
 
@@ -44,6 +50,16 @@
 	return c.head.Epoch
 }
 
+// FormerUntil returns until when the predecessor may go on giving orders.
+func (c *Chain) FormerUntil() dotterclock.Millis {
+	return c.former
+}
+
+// Current reports whether this host may give orders as the owner.
+func (c *Chain) Current() bool {
+	return c.clock.Now()-c.ConfirmedAt() < StaleSpan
+}
+
 // ConfirmedAt returns when the newest answered commit was sent: this host was the owner then.
 func (c *Chain) ConfirmedAt() dotterclock.Millis {
 	return dotterclock.Millis(c.confirmedAt.Load())
--- a/internal/job/dotterhead/keeper.go
+++ b/internal/job/dotterhead/keeper.go
@@ -181,16 +181,23 @@
 // takeOver makes this host the owner, or returns nil if another one was faster.
 func (k *Keeper) takeOver(ctx context.Context) *Chain {
 	k.mu.Lock()
-	former, version, stoodMs := k.head, k.version, k.clock.Now()-k.changedAt
+	former, version, stoodSince := k.head, k.version, k.changedAt
 	k.mu.Unlock()
+	now := k.clock.Now()
 	c := &Chain{store: k.store, key: k.key, clock: k.clock, logger: k.logger, head: former, version: version}
-	c.confirmedAt.Store(int64(k.clock.Now()))
+	c.confirmedAt.Store(int64(now))
 	next := Head{Host: k.host, Address: k.address, Epoch: former.Epoch + 1, Commit: 1}
 	if err := c.advance(ctx, next, nil, nil); err != nil {
 		k.logger.Info("takeover given up", zap.Int64("Epoch", next.Epoch), zap.Error(err))
 		return nil
 	}
-	k.logger.Info("took the shard over", zap.String("From", former.Host), zap.Int64("Epoch", next.Epoch), zap.Int64("HeadStoodMs", int64(stoodMs)))
+	k.logger.Info("took the shard over", zap.String("From", former.Host), zap.Int64("Epoch", next.Epoch), zap.Int64("HeadStoodMs", int64(now-stoodSince)))
+	// A predecessor that has let go is silent. Any other one falls silent StaleSpan
+	// after the commit that this host saw last.
+	c.former = k.clock.Now()
+	if !former.Released() {
+		c.former = max(c.former, stoodSince+StaleSpan)
+	}
 	return c
 }
 
--- a/internal/server/dotterscheduler/term.go
+++ b/internal/server/dotterscheduler/term.go
@@ -41,7 +41,7 @@
 func (t term) Own(ctx context.Context, chain *dotterhead.Chain) error {
 	began := t.clock.Now()
 	o := t.orders.Load()
-	b := dotterboard.New(t.settings.Board, chain.Epoch(), began, t.logger)
+	b := dotterboard.New(t.settings.Board, chain.Epoch(), began, chain.FormerUntil(), t.logger)
 	b.Configure(o.document, o.out)
 	planned, committed := b.Subscribe(), b.Subscribe()
 	revision, err := t.load(ctx, b)
@@ -174,8 +174,7 @@
 // dispatch keeps the sessions with the workers. The owner falls silent when the
 // store has not confirmed it for longer than it may go on renewing leases.
 func (t term) dispatch(ctx context.Context, work *tomb.Tomb, b *dotterboard.Board, chain *dotterhead.Chain) error {
-	allowed := func() bool { return t.clock.Now()-chain.ConfirmedAt() < dotterboard.StaleOwnerSpan }
-	d := dotterdispatch.New(b, t.platform.Runs, t.clock, t.logger, allowed)
+	d := dotterdispatch.New(b, t.platform.Runs, t.clock, t.logger, chain.Current)
 	for ctx.Err() == nil {
 		d.Sync(ctx, work.Go)
 		select {
