Let filling tasks wait a moment for a worker where they harm nobody

Change: the predicted load up to which a worker gets a filling task begins strict and loosens with the time that the task has waited; serving tasks of one image stand together; steps that can hardly be in time any more go after the others.

--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -41,7 +41,8 @@
 	tasks      []*task
 	waiting    int // tasks that are not bound and not done
 	done       int
-	tickets    *tickets // admission of workers, where the queue has a policy
+	readyAt    dotterclock.Millis // when its tasks were first seen to be ready; 0: not yet
+	tickets    *tickets           // admission of workers, where the queue has a policy
 }
 
 func newJob(j dotterjob.Job, queue dotterqueues.Queue, seenAt dotterclock.Millis) *job {
@@ -113,6 +114,23 @@
 	return longest
 }
 
+// remaining returns the declared length of the longest chain of steps from the step on.
+func (s *step) remaining() dotterclock.Millis {
+	steps := s.occurrence.job.Steps
+	lengths := make([]dotterclock.Millis, len(steps))
+	longest := dotterclock.Millis(0)
+	lengths[s.number] = s.Estimate
+	for i := s.number; i < len(steps); i++ {
+		for _, after := range steps[i].After {
+			if lengths[after] > 0 {
+				lengths[i] = max(lengths[i], lengths[after]+steps[i].Estimate)
+			}
+		}
+		longest = max(longest, lengths[i])
+	}
+	return longest
+}
+
 // objective returns by when the occurrence should be done.
 func (o *occurrence) objective(wall, now dotterclock.Millis) dotterclock.Millis {
 	begin := o.job.seenAt
--- a/internal/job/dotterboard/load.go
+++ b/internal/job/dotterboard/load.go
@@ -71,6 +71,20 @@
 	return l.worker.Capacity.MilliCores - l.used
 }
 
+// affinity returns the declared processor time of serving tasks of the image on the
+// worker less that of other serving tasks.
+func (l *load) affinity(image string) float64 {
+	sum := int64(0)
+	for _, t := range l.serving {
+		if t.step.Image == image {
+			sum += t.step.Size.MilliCores
+		} else {
+			sum -= t.step.Size.MilliCores
+		}
+	}
+	return float64(sum)
+}
+
 // pressesOf returns what the step's image does to the serving tasks on the worker.
 func (b *Board) pressesOf(now dotterclock.Millis, l *load, image string) []press {
 	ps, ok := l.presses[image]
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -12,9 +12,15 @@
 	// find left over on a worker: a worker gives what is left over to the tasks one
 	// after the other, and the last one gets nothing.
 	fillNeed = 0.85
-	// loadLimit is the predicted load of a serving task up to which its worker gets
-	// one more task that presses on it; at 0.8 its tail is at its target.
-	loadLimit = 0.7
+	// loadStrict is the predicted load of a serving task up to which its worker gets
+	// one more task that presses on it, as long as that task has time to wait for
+	// another worker; at 0.8 the tail is at its target.
+	loadStrict = 0.58
+	// loadLoose replaces loadStrict for a task that has waited for patienceSpan.
+	loadLoose = 0.72
+	// patienceSpan is how long a filling task may wait for a worker where it harms
+	// nobody: what the queues of the users' filling work allow beside its run time.
+	patienceSpan = dotterclock.Second
 	// doubtLimit is the deviation of a task's predicted effect from which it is an
 	// experiment; a worker gets one at a time.
 	doubtLimit = 0.1
@@ -100,21 +106,29 @@
 	switch {
 	case s.Fills:
 		highest, doubt := b.pressed(now, l, s)
-		if highest > loadLimit || doubt > doubtLimit && l.unsettled {
+		if highest > s.loadLimit(now) || doubt > doubtLimit && l.unsettled {
 			return 0, false
 		}
 		// Away from serving tasks first, then beside those that it is known not to
 		// disturb, then where most is left over.
 		return score - highest - doubtWeight*doubt - float64(l.used)/capacity, true
 	case s.Serves():
-		// Serving tasks together, so that others find workers without any, and away
-		// from filling tasks that are known to press on them.
-		return score + float64(w.reserved.MilliCores)/capacity - b.pressedBy(now, l, s), true
+		// Serving tasks together, so that others find workers without any; those of one
+		// image together, so that each filling image finds workers where it harms none;
+		// and away from filling tasks that are known to press on them.
+		return score + float64(w.reserved.MilliCores)/capacity + l.affinity(s.Image)/capacity - b.pressedBy(now, l, s), true
 	}
 	// Beside serving tasks, which it does not disturb, and into the smallest gap that takes it.
 	return score + float64(w.reserved.MilliCores)/capacity, true
 }
 
+// loadLimit returns the predicted load of a serving task up to which its worker gets a
+// task of the step.
+func (s *step) loadLimit(now dotterclock.Millis) float64 {
+	waited := min(1, float64(now-s.readyAt)/float64(patienceSpan))
+	return loadStrict + (loadLoose-loadStrict)*waited
+}
+
 // choose returns the best worker for a task of the step, or nil.
 func (p *plan) choose(s *step) *worker {
 	var best *worker
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -22,8 +22,13 @@
 type candidate struct {
 	step      *step
 	objective dotterclock.Millis
+	late      bool // it can hardly be done by then
 }
 
+// estimateTrust is the part of its declared run time that a job surely takes;
+// declarations are off by half, either way.
+const estimateTrust = 0.6
+
 // replanSpan is how often waiting steps are looked at though nothing has changed.
 const replanSpan = 200 * dotterclock.Millisecond
 
@@ -97,7 +102,12 @@
 			}
 			for _, s := range o.steps {
 				if s.waiting > 0 && s.ready(p.wall) {
-					cs = append(cs, candidate{step: s, objective: o.objective(p.wall, p.now)})
+					if s.readyAt == 0 {
+						s.readyAt = p.now
+					}
+					c := candidate{step: s, objective: o.objective(p.wall, p.now)}
+					c.late = p.now+dotterclock.Millis(estimateTrust*float64(s.remaining())) > c.objective
+					cs = append(cs, c)
 				}
 			}
 		}
@@ -105,7 +115,7 @@
 	slices.SortStableFunc(cs, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.step.occurrence.job.queue.Rank, b.step.occurrence.job.queue.Rank),
-			compareBool(a.objective < p.now, b.objective < p.now), // what can still be in time goes first
+			compareBool(a.late, b.late), // what can still be in time goes first
 			cmp.Compare(a.objective, b.objective),
 		)
 	})
