Press on serving tasks only as far as filling work queues

Change: the limit loosens with the queue of filling tasks; it lies at a load of 0.74, and moves aim at 0.72.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -32,6 +32,7 @@
 	order     []*worker // workers by id, so that a plan does not depend on the map's order
 	deposed   bool
 	learned   learned
+	backlog   float64 // filling tasks that wait; 1 from which they count as a queue
 	counters  Counters
 	waitLogAt dotterclock.Millis // when a waiting step was logged last
 	expired   []dotterjob.ID     // final jobs whose record can go
--- a/internal/job/dotterboard/control.go
+++ b/internal/job/dotterboard/control.go
@@ -15,7 +15,7 @@
 	loadHigh = 0.78
 	// loadEased is the load that is aimed at when tasks are moved, and below which
 	// paced tasks work on.
-	loadEased = 0.68
+	loadEased = 0.72
 	// guiltLimit is the least load that a task is moved for.
 	guiltLimit = 0.03
 	// pacedShare is what a task that can't move without losing its work may still do
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -16,8 +16,14 @@
 	// one more task that presses on it, as long as that task has time to wait for
 	// another worker; at 0.8 the tail is at its target.
 	loadStrict = 0.58
-	// loadLoose replaces loadStrict for a task that has waited for patienceSpan.
-	loadLoose = 0.72
+	// loadLoose replaces loadStrict for a task that has waited for patienceSpan, and
+	// for all while filling tasks queue.
+	loadLoose = 0.74
+	// backlogPart is the number of filling tasks that wait, by worker, from which they
+	// count as a queue.
+	backlogPart = 0.5
+	// queueSpan is how long a filling task waits before it counts as queued.
+	queueSpan = 150 * dotterclock.Millisecond
 	// patienceSpan is how long a filling task may wait for a worker where it harms
 	// nobody: what the queues of the users' filling work allow beside its run time.
 	patienceSpan = dotterclock.Second
@@ -106,7 +112,7 @@
 	switch {
 	case s.Fills:
 		highest, doubt := b.pressed(now, l, s)
-		if highest > s.loadLimit(now) || doubt > doubtLimit && l.unsettled {
+		if highest > b.loadLimit(now, s) || doubt > doubtLimit && l.unsettled {
 			return 0, false
 		}
 		// Away from serving tasks first, then beside those that it is known not to
@@ -124,9 +130,9 @@
 
 // loadLimit returns the predicted load of a serving task up to which its worker gets a
 // task of the step.
-func (s *step) loadLimit(now dotterclock.Millis) float64 {
-	waited := min(1, float64(now-s.readyAt)/float64(patienceSpan))
-	return loadStrict + (loadLoose-loadStrict)*waited
+func (b *Board) loadLimit(now dotterclock.Millis, s *step) float64 {
+	waited := float64(now-s.readyAt) / float64(patienceSpan)
+	return loadStrict + (loadLoose-loadStrict)*min(1, max(waited, b.backlog))
 }
 
 // choose returns the best worker for a task of the step, or nil.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -49,6 +49,7 @@
 			b.loadOf(now, w).open = b.isOpen(now, w)
 		}
 	}
+	b.backlog = p.backlog(candidates)
 	for _, c := range candidates {
 		if !p.isBlocked(c.step) && !p.place(c.step) {
 			key := keyOf(c.step)
@@ -58,6 +59,17 @@
 	return now + replanSpan
 }
 
+// backlog returns how much filling work waits, 1 from which it counts as a queue.
+func (p *plan) backlog(candidates []candidate) float64 {
+	tasks := 0
+	for _, c := range candidates {
+		if c.step.Fills && p.now-c.step.readyAt > queueSpan {
+			tasks += c.step.waiting
+		}
+	}
+	return float64(tasks) / (backlogPart * float64(max(1, len(p.board.order))))
+}
+
 // load returns what the plan knows of a worker.
 func (p *plan) load(w *worker) *load {
 	l := p.board.loadOf(p.now, w)
