--- a/internal/job/dotterboard/board_test.go
+++ b/internal/job/dotterboard/board_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 )
 
 func TestJobsEndAsTheyShould(t *testing.T) {
@@ -273,3 +275,22 @@
 	assert.Equal(t, 3, s.pool.Starts(second), "an acknowledgement meant for the old life")
 	s.kept()
 }
+
+func TestQueueWithAPolicyStartsOnlyOnAdmittedWorkers(t *testing.T) {
+	s := newShard(t, 4)
+	s.run(200)
+	id := s.submit(1, tasks(2, 500))
+	s.board.jobs[id].queue.Advice = &dotterqueues.Advice{Valid: 3000}
+	s.run(300)
+	assert.Zero(t, s.pool.Starts(id), "started without a ticket")
+	now := s.clock.Now()
+	q, ok := s.board.Question(now, now)
+	require.True(t, ok)
+	assert.Len(t, q.Workers, 4)
+	_, again := s.board.Question(now, now)
+	assert.False(t, again, "one question a step at a time")
+	s.board.Advised(now, now, q, dotterrun.Advice{Tickets: map[string]string{"w02": "code"}, Valid: 3000}, nil)
+	s.until(2000, func() bool { return len(s.workersOf(id)) == 2 })
+	assert.Equal(t, []string{"w02", "w02"}, s.workersOf(id))
+	s.kept()
+}
--- a/internal/model/dotterrun/run.go
+++ b/internal/model/dotterrun/run.go
@@ -1,6 +1,8 @@
 package dotterrun
 
 import (
+	"strconv"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 )
@@ -57,3 +59,21 @@
 	Clock   dotterclock.Millis // worker's clock when it answered; 0: not told
 	Refused Refusal
 }
+
+// StepRef names one step of one occurrence of a job.
+type StepRef struct {
+	Job        dotterjob.ID
+	Occurrence int
+	Step       int
+}
+
+// String returns the parts joined by dots.
+func (s StepRef) String() string {
+	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
+}
+
+// Advice is a policy's answer on a step.
+type Advice struct {
+	Tickets map[string]string  // by worker that may run the step
+	Valid   dotterclock.Millis // how long the tickets hold
+}
--- /dev/null
+++ b/internal/server/dotterscheduler/explain_test.go
@@ -0,0 +1,92 @@
+package dotterscheduler
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterlog"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/tool/dotterexplain"
+)
+
+// logBuffer is what a host wrote.
+type logBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(line)
+}
+
+// TestWalksFromIDToCause are the walks of docs/OPERATIONS.md: each failed job leads
+// to its cause by the lines that `dotterelusher explain` shows.
+func TestWalksFromIDToCause(t *testing.T) {
+	tests := map[string]struct {
+		fail func(t *testing.T, c *cluster) dotterjob.ID
+		want []string // parts of lines, in this order
+	}{
+		"refused while the store is away": {
+			fail: func(t *testing.T, c *cluster) dotterjob.ID {
+				c.store.SetDown(true)
+				j := dotterjob.Job{ID: "00000000000000f1", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}}
+				require.Error(t, c.hosts["a1"].Jobs().Submit(t.Context(), j))
+				c.store.SetDown(false)
+				return j.ID
+			},
+			want: []string{"write not confirmed", "MayHaveTakenEffect=false"},
+		},
+		"failed, its tasks fail everywhere": {
+			fail: func(t *testing.T, c *cluster) dotterjob.ID {
+				c.pool.FailAlways("00000000000000f2")
+				id := c.submit("a1", 0xf2, step(1, 30))
+				c.await("failed", func() bool { return c.stateAt("a1", id) == dotterjob.Failed })
+				return id
+			},
+			want: []string{"run ended", "Ending=Failed", "run ended", "Ending=Failed", "job decided", "Outcome=Failed", "failed as often as its queue allows"},
+		},
+		"late, its worker restarted": {
+			fail: func(t *testing.T, c *cluster) dotterjob.ID {
+				id := c.submit("a1", 0xf3, step(4, 800))
+				c.await("it runs", func() bool { return c.pool.Starts(id) == 4 })
+				for worker := range c.pool.Running() {
+					c.pool.Restart(worker)
+				}
+				c.await("completed", func() bool { return c.stateAt("a1", id) == dotterjob.Completed })
+				return id
+			},
+			want: []string{"worker restarted", "run lost", "job decided", "Outcome=Completed"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := &logBuffer{}
+			logger, flush := dotterlog.NewBounded("info", "a1", log)
+			c := newLoggedCluster(t, 2, logger, "a1")
+			c.await("an owner", func() bool { return c.owner() != "" })
+			c.await("the workers", func() bool { s, _ := c.hosts["a1"].Summary(); return s.Workers == 2 && s.Silent == 0 })
+			id := tc.fail(t, c)
+			flush()
+			lines, err := dotterexplain.Job(string(id), strings.NewReader(log.String()))
+			require.NoError(t, err)
+			var text strings.Builder
+			for _, l := range lines {
+				text.WriteString(l.String() + "\n")
+			}
+			rest := text.String()
+			for _, part := range tc.want {
+				i := strings.Index(rest, part)
+				require.GreaterOrEqual(t, i, 0, "%q is missing in order in\n%s", part, text.String())
+				rest = rest[i+len(part):]
+			}
+			assert.NotContains(t, text.String(), "errorVerbose")
+		})
+	}
+}
--- a/internal/server/dotterscheduler/platform.go
+++ b/internal/server/dotterscheduler/platform.go
@@ -11,8 +11,9 @@
 type Platform struct {
 	Store           dotterelusher.TransactionalStore
 	Runs            dotterelusher.RunClient
-	OperatorPrefix  string // keys that operators write
-	DirectoryPrefix string // keys under which workers are listed
+	Admission       dotterelusher.Admission // nil: no queue has a policy
+	OperatorPrefix  string                  // keys that operators write
+	DirectoryPrefix string                  // keys under which workers are listed
 
 	// NewOperatorSink returns a sink of operators' keys that calls take with each
 	// configuration and the failure domains that are out.
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -68,10 +68,16 @@
 	store *dottermemory.Store
 	pool  *dotterstandpool.Pool
 	hosts map[string]*Scheduler
+
+	logger *zap.Logger
 }
 
 func newCluster(t *testing.T, workers int, hosts ...string) *cluster {
-	c := &cluster{t: t, clock: dotterclock.NewSystem(), hosts: map[string]*Scheduler{}}
+	return newLoggedCluster(t, workers, zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)), hosts...)
+}
+
+func newLoggedCluster(t *testing.T, workers int, logger *zap.Logger, hosts ...string) *cluster {
+	c := &cluster{logger: logger, t: t, clock: dotterclock.NewSystem(), hosts: map[string]*Scheduler{}}
 	c.store = dottermemory.New(c.clock)
 	c.pool = dotterstandpool.New(c.clock, 6000)
 	for i := range workers {
@@ -102,14 +108,13 @@
 		Host: host, FailureDomain: "a", LinkAddress: "127.0.0.1:0",
 		Board: dotterboard.Settings{LeaseSpan: 6000, StopSpan: 400, HarmSpan: 4000, RetainSpan: 120_000, ReturnSpan: 2500},
 	}
-	logger := zaptest.NewLogger(c.t, zaptest.Level(zap.WarnLevel))
 	s, err := New(settings, Platform{
 		Store: c.store, Runs: c.pool, OperatorPrefix: "Operators/", DirectoryPrefix: "Workers/",
 		NewOperatorSink: func(take func(dotterqueues.Document, map[string]bool)) dotterreplica.Sink { return operatorSink{take} },
 		NewDirectorySink: func(take func(map[string]dotterworker.Worker)) dotterreplica.Sink {
 			return &directorySink{take: take}
 		},
-	}, c.clock, logger.Named(host))
+	}, c.clock, c.logger)
 	require.NoError(c.t, err)
 	s.Start()
 	c.hosts[host] = s
--- a/internal/server/dotterscheduler/term.go
+++ b/internal/server/dotterscheduler/term.go
@@ -27,6 +27,10 @@
 	lazySpan = 150 * dotterclock.Millisecond
 	// syncSpan is how often sessions are compared with the workers.
 	syncSpan = 400 * dotterclock.Millisecond
+	// adviseSpan is how often it is looked whether a policy has to be asked.
+	adviseSpan = 20 * dotterclock.Millisecond
+	// adviceSpan bounds a question to a policy, which takes its time for each worker.
+	adviceSpan = 2 * dotterclock.Second
 	// loadSpan bounds the reading of the shard's state by a new owner.
 	loadSpan = 6 * dotterclock.Second
 )
@@ -65,6 +69,7 @@
 	go func() { _ = directory.Run(inner) }()
 	go func() { _ = inbox.RunFrom(inner, revision) }()
 	go t.plan(inner, b, planned)
+	go t.advise(inner, b)
 	go t.dispatch(inner, b, chain)
 	return t.commit(inner, b, chain, committed)
 }
@@ -111,6 +116,25 @@
 	}
 }
 
+// advise asks the queues' policies, one question at a time as they answer them.
+func (t term) advise(ctx context.Context, b *dotterboard.Board) {
+	for ctx.Err() == nil {
+		now := t.clock.Now()
+		q, ok := b.Question(now, wall())
+		if !ok || t.platform.Admission == nil {
+			select {
+			case <-ctx.Done():
+			case <-t.clock.After(adviseSpan):
+			}
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, adviceSpan.Duration())
+		advice, err := t.platform.Admission.Advise(call, q.Step, q.Workers)
+		cancel()
+		b.Advised(t.clock.Now(), now, q, advice, err)
+	}
+}
+
 // commit writes the board's changes, and shows every beat that the owner lives.
 func (t term) commit(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain, changed <-chan struct{}) error {
 	last := t.clock.Now()
--- a/internal/tool/dottercommand/program.go
+++ b/internal/tool/dottercommand/program.go
@@ -63,6 +63,7 @@
 	top := []entry{
 		{"status", "show what an entry host knows", "Shows configuration revisions, backend servers and shards.", &statusCommand{program: p}},
 		{"decisions", "show the newest routing and placement decisions", "Shows decisions that this entry host made.", &decisionsCommand{program: p}},
+		{"explain", "show what happened to a job", "Orders the lines of several hosts' logs that bear on the job.", &explainCommand{program: p}},
 		{"usage", "show use per partner against the split", "Shows charges by partner, team and split revision.", &usageCommand{program: p}},
 	}
 	for _, e := range top {
--- a/workers.go
+++ b/workers.go
@@ -23,3 +23,10 @@
 	// Renew renews the lease and returns the worker's listing.
 	Renew(ctx context.Context, worker dotterworker.Worker, renewal dotterrun.Renewal) (dotterrun.Listing, error)
 }
+
+// Admission knows which workers a queue's policy allows to run a step.
+type Admission interface {
+	// Advise returns tickets for those of the workers that may run the step; its
+	// errors are ErrWorkerUnreachable and ErrWorkerIndeterminate.
+	Advise(ctx context.Context, step dotterrun.StepRef, workers []string) (dotterrun.Advice, error)
+}
