Tests that fail without the mechanism they guard: gangs, deaf watches, repeated submissions

Change: a gang that does not fit whole, a watch that is deaf and claims to be up to date, a repeated submission with another body.

--- a/internal/job/dotterboard/board_test.go
+++ b/internal/job/dotterboard/board_test.go
@@ -294,3 +294,18 @@
 	assert.Equal(t, []string{"w02", "w02"}, s.workersOf(id))
 	s.kept()
 }
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	gang := tasks(4, 500)
+	gang.Gang = true
+	gang.Size.MilliCores = 20_000 // three fit on one worker
+	s := newShard(t, 1)
+	s.run(200)
+	id := s.submit(1, gang)
+	s.run(1000)
+	assert.Zero(t, s.pool.Starts(id))
+	s.pool.Add(testWorker(1))
+	s.until(3000, s.is(id, dotterjob.Completed))
+	assert.Equal(t, 4, s.pool.Starts(id))
+	s.kept()
+}
--- a/internal/job/dotterreplica/replica_test.go
+++ b/internal/job/dotterreplica/replica_test.go
@@ -16,24 +16,37 @@
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
-// compacted is a store that no longer keeps the changes after a revision once told so.
+// compacted is a store that forgets its history once told so.
 type compacted struct {
 	*dottermemory.Store
-	mu   sync.Mutex
-	gone bool
+	mu     sync.Mutex
+	oldest dotterkey.Revision // changes after it are kept
+	deaf   bool               // watches hear nothing and say that they are up to date
 }
 
-func (s *compacted) compact() {
+func (s *compacted) setDeaf(deaf bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gone = true
+	s.deaf = deaf
+}
+
+func (s *compacted) compact(t *testing.T) {
+	_, revision, err := s.List(t.Context(), "")
+	require.NoError(t, err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = revision
 }
 
 func (s *compacted) WatchFor(ctx context.Context, prefix string, after dotterkey.Revision, span dotterclock.Millis) (dotterkey.Changes, error) {
 	s.mu.Lock()
-	gone := s.gone
-	s.gone = false
+	gone, deaf := after < s.oldest, s.deaf
 	s.mu.Unlock()
+	if deaf {
+		time.Sleep(span.Duration())
+		_, revision, err := s.List(ctx, "")
+		return dotterkey.Changes{Revision: revision}, err
+	}
 	if gone {
 		return dotterkey.Changes{}, dotterelusher.ErrStoreCompacted
 	}
@@ -73,11 +86,13 @@
 func TestReplicaSeesEveryChange(t *testing.T) {
 	tests := map[string]func(t *testing.T, s *compacted, write func(string)){
 		"a change": func(_ *testing.T, _ *compacted, write func(string)) { write("new") },
-		"made while watches hear nothing, then the history goes": func(_ *testing.T, s *compacted, write func(string)) {
-			s.SetSilent(true)
+		"made while watches hear nothing, then the history goes": func(t *testing.T, s *compacted, write func(string)) {
+			s.setDeaf(true)
+			time.Sleep(100 * time.Millisecond) // the watch that is under way still hears
 			write("new")
-			time.Sleep(100 * time.Millisecond)
-			s.compact()
+			time.Sleep(200 * time.Millisecond) // some waits, which hear nothing
+			s.setDeaf(false)
+			s.compact(t)
 		},
 		"made in an outage": func(_ *testing.T, s *compacted, write func(string)) {
 			write("new")
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -242,6 +242,13 @@
 	c.submit("b1", 1, step(2, 50))
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, 2, c.pool.Starts(id))
+	before, err := c.store.Get(t.Context(), dotterentry.JobKey(id))
+	require.NoError(t, err)
+	other := dotterjob.Job{ID: id, Queue: testQueue, Spec: "another", Steps: []dotterjob.Step{step(7, 50)}}
+	require.NoError(t, c.hosts["a1"].Jobs().Submit(t.Context(), other))
+	after, err := c.store.Get(t.Context(), dotterentry.JobKey(id))
+	require.NoError(t, err)
+	assert.Equal(t, before, after, "the job that was accepted first stays as it was")
 	assert.Empty(t, c.pool.Faults())
 }
 
