--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -32,6 +32,7 @@
 	order     []*worker // workers by id, so that a plan does not depend on the map's order
 	deposed   bool
 	learned   learned
+	pool      speed   // of all workers
 	backlog   float64 // filling tasks that wait; 1 from which they count as a queue
 	counters  Counters
 	waitLogAt dotterclock.Millis // when a waiting step was logged last
@@ -233,7 +234,7 @@
 	t.phase, t.worker = bound, w
 	t.sealedAt, t.answeredAt, t.validUntil, t.stopping, t.stopAgain = 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
-	t.loadAt, t.bornAt = 0, 0
+	t.loadAt, t.bornAt, t.timed, t.fresh = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
--- a/internal/job/dotterboard/board_test.go
+++ b/internal/job/dotterboard/board_test.go
@@ -309,3 +309,30 @@
 	assert.Equal(t, 4, s.pool.Starts(id))
 	s.kept()
 }
+
+// TestSlowWorkerIsAvoided is the load of days on which some workers turn slow. A
+// policy that looks only at room puts a quarter of the tasks there.
+func TestSlowWorkerIsAvoided(t *testing.T) {
+	s := newShard(t, 4)
+	s.run(200)
+	for i := range 5 {
+		spread := tasks(8, 400)
+		spread.PerWorker = 2
+		id := s.submit(1000+i, spread)
+		s.until(2000, s.is(id, dotterjob.Completed))
+	}
+	s.pool.SetSlow("w00", 6)
+	late := 0
+	for i := range 60 {
+		step := tasks(3, 400)
+		step.Checkpoints = i%2 == 0
+		began := s.clock.Now()
+		id := s.submit(i+1, step)
+		s.until(20_000, s.is(id, dotterjob.Completed))
+		if s.clock.Now()-began > 1000 {
+			late++
+		}
+	}
+	assert.LessOrEqual(t, late, 8, "jobs that a slow worker made late")
+	s.kept()
+}
--- a/internal/job/dotterboard/control.go
+++ b/internal/job/dotterboard/control.go
@@ -76,6 +76,7 @@
 // watchProgress stops tasks that stand still, so that they go on elsewhere.
 func (b *Board) watchProgress(now dotterclock.Millis, w *worker, t *task) {
 	stood := now - t.progressAt
+	b.watchSpeed(now, w, t)
 	if t.stopping || t.pace < 100 || t.step.Gang || t.step.LongRunning || stood < max(standSpan, t.step.Estimate/standPart) {
 		return
 	}
@@ -83,6 +84,22 @@
 	b.stop(now, t, "no progress")
 }
 
+// watchSpeed learns from a task's progress how fast its worker is, and moves a task
+// that can go on elsewhere off a slow one.
+func (b *Board) watchSpeed(now dotterclock.Millis, w *worker, t *task) {
+	if t.stopping || t.pace < 100 || t.step.LongRunning || now-t.startedAt < sampleSpan {
+		return
+	}
+	if !t.timed && t.fresh && t.progress >= sampleProgress {
+		t.timed = true
+		b.observeSpeed(now, w, t, now-t.startedAt, float64(t.progress)/100)
+	}
+	left := dotterclock.Millis(float64(t.step.Estimate) * float64(100-t.progress) / 100)
+	if t.step.Checkpoints && !t.step.Gang && left > sampleSpan && b.isSlow(now, w) {
+		b.stop(now, t, "the worker is slow")
+	}
+}
+
 // control moves the filling tasks that press most on the worker's worst served task
 // until it is predicted to be eased. What that does shows only after the tails have
 // been measured again.
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -32,6 +32,9 @@
 	doubtLimit = 0.1
 	// doubtWeight is what a deviation costs in the score of a worker.
 	doubtWeight = 1
+	// slowCost is what a worker's slowness above slowSlack, a logarithm, costs in its score.
+	slowCost  = 2.0
+	slowSlack = 0.4
 	// rackBonus is the score of standing on the rack of the data; above all others.
 	rackBonus = 10.0
 )
@@ -107,7 +110,7 @@
 	if s.DataRack != "" && w.Rack == s.DataRack {
 		score += rackBonus
 	}
-	score -= w.conduct.decayed(now)
+	score -= w.conduct.decayed(now) + slowCost*max(0, b.slowness(now, w)-slowSlack)
 	capacity := float64(max(1, w.Capacity.MilliCores))
 	switch {
 	case s.Fills:
--- a/internal/job/dotterboard/settle.go
+++ b/internal/job/dotterboard/settle.go
@@ -9,7 +9,7 @@
 // settle gives up runs whose lease has surely lapsed and forgets what is over.
 func (b *Board) settle(now dotterclock.Millis) {
 	for _, w := range b.order {
-		if len(w.runs) > 0 && (w.failedAt != 0 || !w.asked) && now >= w.lapsedAt(b.settings, b.former) {
+		if len(w.runs) > 0 && now >= w.lapsedAt(b.settings, b.former) {
 			for _, t := range w.runs {
 				if t.sent() {
 					b.lose(now, t, "its lease has lapsed")
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -41,6 +41,8 @@
 	startedAt  dotterclock.Millis
 	progress   int
 	progressAt dotterclock.Millis // when progress last rose
+	fresh      bool               // the run began without a checkpoint
+	timed      bool               // its progress has told how fast the worker is
 	used       int64
 	tail       dotterclock.Millis
 	overSince  dotterclock.Millis // serving: since when the tail is over the target; 0: it is not
--- a/internal/job/dotterdispatch/dispatcher.go
+++ b/internal/job/dotterdispatch/dispatcher.go
@@ -88,8 +88,9 @@
 		}
 		sentAt := d.clock.Now()
 		renewal, ok := d.board.Renewal(sentAt, w.ID)
-		if !ok {
-			return
+		if !ok { // it has left; Sync ends the session unless it comes back
+			d.sleep(ctx, retrySpan)
+			continue
 		}
 		call, cancel := context.WithTimeout(ctx, (renewal.Wait + answerSpan).Duration())
 		listing, err := d.client.Renew(call, w, renewal)
--- /dev/null
+++ b/internal/job/dotterdispatch/dispatcher_test.go
@@ -0,0 +1,54 @@
+package dotterdispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/standin/dotterstandpool"
+)
+
+// TestWorkerThatComesBackIsRenewed: a worker leaves the directory with nothing running
+// and is back before the sessions are compared again, as after a cut. Its session has
+// to go on, or whatever starts there loses its lease.
+func TestWorkerThatComesBackIsRenewed(t *testing.T) {
+	clock := dotterclock.NewSystem()
+	pool := dotterstandpool.New(clock, 6000)
+	w := dotterworker.Worker{ID: "w0", Address: "10.0.0.1:1", Service: "pool", Capacity: dotterroom.Room{MilliCores: 64_000, MemoryMB: 64_000}}
+	pool.Add(w)
+	b := dotterboard.New(dotterboard.Settings{LeaseSpan: 6000, RetainSpan: 60_000, ReturnSpan: 2500}, 1, clock.Now(), clock.Now(), zap.NewNop())
+	b.Configure(dotterqueues.NewDocument(1, []dotterqueues.Queue{{Host: "h", Prefix: "/p/", Service: "pool"}}, nil, dotterqueues.Limits{}), nil)
+	d := New(b, pool, clock, zap.NewNop(), func() bool { return true })
+	listed := map[string]dotterworker.Worker{"w0": w}
+
+	b.Directory(clock.Now(), listed)
+	d.Sync(t.Context())
+	heard := func() bool { return b.Summary(clock.Now()).Silent == 0 }
+	require.Eventually(t, heard, 5*time.Second, time.Millisecond)
+	b.Directory(clock.Now(), map[string]dotterworker.Worker{})
+	time.Sleep(2 * time.Second) // longer than a waiting renewal takes
+	b.Directory(clock.Now(), listed)
+	d.Sync(t.Context())
+
+	j := dotterjob.Job{ID: "0123456789abcdef", Queue: "h/p/", Spec: "s", Steps: []dotterjob.Step{{Count: 1, Estimate: 2500, Size: dotterroom.Room{MilliCores: 1000}}}}
+	pool.Expect(j)
+	b.Accept(clock.Now(), 0, j)
+	require.Eventually(t, func() bool {
+		b.Plan(clock.Now(), clock.Now())
+		batch, err := b.Batch(30)
+		require.NoError(t, err)
+		b.Committed(batch)
+		state, _ := b.State(j.ID)
+		return state == dotterjob.Completed
+	}, 10*time.Second, 5*time.Millisecond)
+	require.Equal(t, 1, pool.Starts(j.ID))
+	require.Empty(t, pool.Faults())
+}
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -96,6 +96,11 @@
 	p.change(id, func(w *Worker) { w.tail = tail })
 }
 
+// SetSlow makes runs that a worker starts from now on take factor times as long.
+func (p *Pool) SetSlow(id string, factor int) {
+	p.change(id, func(w *Worker) { w.slow = dotterclock.Millis(factor) })
+}
+
 // LoseAnswers makes a worker carry the next count orders out without answering.
 func (p *Pool) LoseAnswers(id string, count int) {
 	p.change(id, func(w *Worker) { w.mute = count })
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -25,6 +25,7 @@
 	late    int  // orders to carry out only when the pool says so
 	failing bool // every run fails at once
 	tail    dotterclock.Millis
+	slow    dotterclock.Millis // factor by which runs take longer; 0: none
 }
 
 // run is a run that is at work.
@@ -94,7 +95,7 @@
 	if s.Run <= w.closed[s.Task] {
 		return w.refuse(dotterrun.RefusedOld)
 	}
-	r := &run{Ref: s.Ref, begun: w.pool.clock.Now(), span: w.pool.spanOf(s.Task), failing: w.failing || w.pool.isFailing(s.Task), pace: 100}
+	r := &run{Ref: s.Ref, begun: w.pool.clock.Now(), span: w.pool.spanOf(s.Task) * max(1, w.slow), failing: w.failing || w.pool.isFailing(s.Task), pace: 100}
 	w.running[s.Task] = r
 	w.pool.noteStart(w, r, s)
 	return w.refuse(dotterrun.NotRefused)
