--- a/internal/job/dotterboard/board_test.go
+++ b/internal/job/dotterboard/board_test.go
@@ -336,3 +336,22 @@
 	assert.LessOrEqual(t, late, 8, "jobs that a slow worker made late")
 	s.kept()
 }
+
+// TestSuccessorDoesNotGiveUpWhatItHasSeenRunning: the first listing shows a run, and the
+// next renewal comes late, as with many workers after a takeover.
+func TestSuccessorDoesNotGiveUpWhatItHasSeenRunning(t *testing.T) {
+	s := newShard(t, 2)
+	s.run(200)
+	id := s.submit(1, tasks(4, 20_000))
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 4 })
+	s.takeOver(0)
+	s.board.Directory(s.clock.Now(), s.pool.Listed())
+	for _, w := range s.board.Sessions() {
+		s.renew(w)
+	}
+	s.clock.Advance(1500)
+	s.board.Plan(s.clock.Now(), s.clock.Now())
+	s.run(500)
+	assert.Equal(t, 4, s.pool.Starts(id))
+	s.kept()
+}
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -65,6 +65,9 @@
 	if w.Born != l.Born {
 		b.replaceLife(now, w, l.Born)
 	}
+	if !w.asked {
+		w.leaseUntil = max(w.leaseUntil, l.Clock+b.settings.LeaseSpan) // a predecessor may have renewed it just now
+	}
 	w.asked, w.failedAt, w.doubted, w.heardAt = true, 0, false, now
 	w.clock, w.clockAt = l.Clock, now
 	w.load = nil
