Follow the load of a serving step's users by a trend that its tasks share

The board estimated each task's load by itself, took one repeated reading for several, and held the mean of the present load against one limit for light and heavy images alike.

Change: one Kalman filter of level and rate per serving step; readings count once; filling tasks are held against the load a second ahead, plus what heavy images may vary by; serving tasks of one step go together; serving tasks use what their load tells, not half of what they declare; a crowded worker is relieved whatever the images are.

Ruled out: slowdowns that multiply the users' tail in place of adding to the load.

--- a/internal/job/dotterboard/control.go
+++ b/internal/job/dotterboard/control.go
@@ -27,6 +27,11 @@
 	// harmParts is the part of the longest allowed harm after which a worker is cleared
 	// of filling tasks; the rest is for a stop and for the tails to be measured again.
 	harmParts = 3
+	// crowdSlope is what any image adds to the load of others on a worker whose
+	// processor time is all used, as those do that press hard.
+	crowdSlope = 2.0
+	// actSpan is how long it takes until a stop or a pace eases a serving task.
+	actSpan = 300 * dotterclock.Millisecond
 	// tailLogSpan keeps short excursions of a tail out of the logs.
 	tailLogSpan = 2 * dotterclock.Second
 	// standSpan is how long a task may make no progress before its worker is taken to
@@ -48,9 +53,14 @@
 			b.watchProgress(now, w, t)
 			continue
 		}
-		b.learned.observe(now, w, t)
+		if t.tail <= 0 {
+			continue // no reading yet
+		}
+		if t.tailAt == now {
+			b.learned.observe(now, w, t)
+		}
 		b.watchTail(now, t)
-		if worst == nil || ratio(t) > ratio(worst) {
+		if worst == nil || t.expectedLoad(now) > worst.expectedLoad(now) {
 			worst = t
 		}
 	}
@@ -59,6 +69,13 @@
 	}
 }
 
+// expectedLoad returns the load that a serving task is expected to have by the time
+// that an order could ease it: that of its last reading, moved on by the trend of its users.
+func (t *task) expectedLoad(now dotterclock.Millis) float64 {
+	users := &t.step.users
+	return loadAt(ratio(t)) + users.ahead(now+actSpan) - users.ahead(t.tailAt-readingLag)
+}
+
 // watchTail logs when a serving task goes over its target and comes back.
 func (b *Board) watchTail(now dotterclock.Millis, t *task) {
 	over := ratio(t) > 1
@@ -104,7 +121,7 @@
 // until it is predicted to be eased. What that does shows only after the tails have
 // been measured again.
 func (b *Board) control(now dotterclock.Millis, w *worker, worst *task) {
-	load := loadAt(ratio(worst))
+	load := worst.expectedLoad(now)
 	if worst.overSince != 0 && now-worst.overSince > b.settings.HarmSpan/harmParts {
 		b.clear(now, w, worst)
 		return
@@ -116,13 +133,21 @@
 	if load < loadHigh || now-w.movedAt < settleSpan {
 		return
 	}
+	used := 0.0
+	for _, t := range w.runs {
+		used += share(now, w, t)
+	}
 	var pressing []pressure
 	for _, t := range w.runs {
 		if t.phase != running || !t.step.Fills || t.stopping || t.pace <= pacedShare {
 			continue
 		}
 		e := b.learned.slope(now, worst, t.step.Image)
-		if guilt := e.Cautious(doubtWeight) * share(now, w, t); guilt > guiltLimit {
+		slope := e.Cautious(doubtWeight)
+		if used > fullUse {
+			slope += crowdSlope
+		}
+		if guilt := slope * share(now, w, t); guilt > guiltLimit {
 			pressing = append(pressing, pressure{t, guilt})
 		}
 	}
@@ -186,7 +211,7 @@
 				continue
 			}
 			added := b.learned.slope(now, victim, t.step.Image).Mean * unmeasuredUse * float64(t.step.Size.MilliCores) / float64(max(1, w.Capacity.MilliCores))
-			if loadAt(ratio(victim))+added > loadEased {
+			if victim.expectedLoad(now)+added > loadEased {
 				return
 			}
 		}
--- a/internal/job/dotterboard/control_test.go
+++ b/internal/job/dotterboard/control_test.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 )
 
 // disturbed is a shard whose serving tasks have a tail that follows their own load and
@@ -17,9 +18,12 @@
 type disturbed struct {
 	*shard
 	own     float64
-	factors map[string]float64 // of filling images: load added by one that uses a whole worker
+	users   func(dotterjob.ID, dotterclock.Millis) float64 // in place of own: load of a job's users
+	factors map[string]float64                             // of filling images: load added by one that uses a whole worker
 	worst   map[string]dotterclock.Millis
 	over    dotterclock.Millis // longest time that a serving task was over its target on end
+	harmed  dotterclock.Millis // time that serving tasks were over their target, in all
+	served  dotterclock.Millis // time that serving tasks ran, in all
 }
 
 const testTarget = 50 * dotterclock.Millisecond
@@ -29,39 +33,64 @@
 	const step = 100 * dotterclock.Millisecond
 	for range span / step {
 		for id, runs := range d.pool.Running() {
-			load, serves := d.own, false
+			pressed := 0.0
 			for _, r := range runs {
-				t := d.board.find(r.Task)
-				serves = serves || t.step.Serves()
-				if t.step.Fills {
-					load += d.factors[t.step.Image] * float64(t.step.Size.MilliCores) / 64_000 * float64(t.pace) / 100
+				if t := d.board.find(r.Task); t.step.Fills {
+					pressed += d.factors[t.step.Image] * float64(t.step.Size.MilliCores) / 64_000 * float64(t.pace) / 100
 				}
 			}
-			tail := dotterclock.Millis(quietTail * float64(testTarget) / max(0.02, 1-load))
-			d.pool.SetTail(id, tail)
-			if tail <= testTarget || !serves {
-				d.worst[id] = 0
-				continue
-			}
-			d.worst[id] += step
-			d.over = max(d.over, d.worst[id])
+			d.judge(id, runs, pressed, step)
 		}
 		d.run(step)
 	}
 }
 
+// judge sets the tails of the worker's serving tasks for a step of time.
+func (d *disturbed) judge(worker string, runs []dotterrun.Ref, pressed float64, step dotterclock.Millis) {
+	over := false
+	for _, r := range runs {
+		if !d.board.find(r.Task).step.Serves() {
+			continue
+		}
+		load := d.own + pressed
+		if d.users != nil {
+			load = d.users(r.Task.Job, d.clock.Now()) + pressed
+		}
+		tail := dotterclock.Millis(quietTail * float64(testTarget) / max(0.02, 1-load))
+		d.pool.SetTail(worker, r.Task, tail)
+		d.served += step
+		if tail > testTarget {
+			over = true
+			d.harmed += step
+		}
+	}
+	if !over {
+		d.worst[worker] = 0
+		return
+	}
+	d.worst[worker] += step
+	d.over = max(d.over, d.worst[worker])
+}
+
 func newDisturbed(t *testing.T, workers int, own float64, factors map[string]float64) *disturbed {
 	d := &disturbed{shard: newShard(t, workers), own: own, factors: factors, worst: map[string]dotterclock.Millis{}}
 	d.run(200)
-	serving := dotterjob.Step{
-		Count: workers, PerWorker: 1, LongRunning: true, Image: "serving", TailTarget: testTarget,
-		Size: dotterroom.Room{MilliCores: 13_000, MemoryMB: 26_000},
+	if workers > 0 {
+		serving := servingOf("serving", workers)
+		serving.PerWorker = 1
+		d.submit(1_000_000, serving)
+		d.run(300)
 	}
-	d.submit(1_000_000, serving)
-	d.run(300)
 	return d
 }
 
+func servingOf(image string, count int) dotterjob.Step {
+	return dotterjob.Step{
+		Count: count, LongRunning: true, Image: image, TailTarget: testTarget,
+		Size: dotterroom.Room{MilliCores: 13_000, MemoryMB: 26_000},
+	}
+}
+
 func fillingOf(image string, count int, span dotterclock.Millis, checkpoints bool) dotterjob.Step {
 	return dotterjob.Step{
 		Count: count, Fills: true, Checkpoints: checkpoints, Image: image, Estimate: span,
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -42,6 +42,7 @@
 	waiting    int // tasks that are not bound and not done
 	done       int
 	readyAt    dotterclock.Millis // when its tasks were first seen to be ready; 0: not yet
+	users      trend              // serving: the load that its users cause
 	tickets    *tickets           // admission of workers, where the queue has a policy
 }
 
--- a/internal/job/dotterboard/learned.go
+++ b/internal/job/dotterboard/learned.go
@@ -1,8 +1,6 @@
 package dotterboard
 
 import (
-	"math"
-
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
@@ -12,18 +10,23 @@
 	modelTerms = 1 << 14
 	// settleSpan is how long a reported tail still shows the time before a change:
 	// workers report the tail of the last half second.
-	settleSpan = 700 * dotterclock.Millisecond
+	settleSpan = 400 * dotterclock.Millisecond
 	// quietTail is the tail of a serving task without load, in targets: services set
 	// their targets at about five times of it.
 	quietTail = 0.2
 	// cappedLoad is the load from which a tail tells only that the task is overloaded.
 	cappedLoad = 0.93
-	// usualLoad and usualDeviation are what is assumed of a serving task's own load.
-	usualLoad      = 0.45
-	usualDeviation = 0.2
-	// loadDrift is the variance that a serving task's own load gains in a second: it
-	// swings by about half within some seconds.
-	loadDrift = 0.004
+	// readingSpan is how often a worker measures a tail anew; until then its listings
+	// repeat the last reading.
+	readingSpan = 450 * dotterclock.Millisecond
+	// fullUse is the part of a worker's processor time from which its tasks disturb each
+	// other whatever their images are.
+	fullUse = 0.97
+	// pressVariation is the standard deviation of what a filling task adds to a serving
+	// one's load, as a part of its mean: it changes within seconds.
+	pressVariation = 0.4
+	// readingLag is how old a reading is on average when it is made.
+	readingLag = 250 * dotterclock.Millisecond
 )
 
 // pairPrior says that images disturb each other by pairs: most pairs not at all,
@@ -62,12 +65,15 @@
 // observe takes in the tail of a serving task beside the others on its worker.
 func (l learned) observe(now dotterclock.Millis, w *worker, victim *task) {
 	load := loadAt(ratio(victim))
+	own := &victim.step.users
+	own.advance(now)
 	s := dotterinterference.Sample{
 		At: now, Victim: victim.step.Image, Slowdown: 1 + load, Capped: load > cappedLoad,
-		Own: victim.ownLoad(now),
+		Own: own.now(),
 	}
-	beside := map[string]float64{}
+	beside, used := map[string]float64{}, 0.0
 	for _, t := range w.runs {
+		used += share(now, w, t)
 		if t.phase != running || !t.step.Fills || t.step.Image == "" {
 			continue
 		}
@@ -76,20 +82,20 @@
 		}
 		beside[t.step.Image] += share(now, w, t)
 	}
+	if used > fullUse {
+		return // the load is not of the images' making alone
+	}
 	for image, share := range beside {
 		s.Corunners = append(s.Corunners, dotterinterference.Corunner{Template: image, Weight: share, Share: 1})
 	}
-	victim.load, victim.loadAt = l.model.Observe(s), now
+	own.correct(l.model.Observe(s))
 }
 
-// ownLoad returns what is known of a serving task's own load by now.
-func (t *task) ownLoad(now dotterclock.Millis) dotterinterference.Estimate {
-	usual := dotterinterference.Estimate{Mean: usualLoad, Deviation: usualDeviation}
-	if t.loadAt == 0 {
-		return usual
-	}
-	variance := t.load.Deviation*t.load.Deviation + loadDrift*(now-t.loadAt).Seconds()
-	return dotterinterference.Estimate{Mean: min(1, max(0, t.load.Mean)), Deviation: min(usualDeviation, math.Sqrt(variance))}
+// ownLoad returns the highest load that the users of a serving task are expected to
+// cause until the instant.
+func (t *task) ownLoad(now, until dotterclock.Millis) float64 {
+	users := &t.step.users
+	return max(users.ahead(now), users.ahead(until))
 }
 
 // slope returns what tasks of the image add to the load of the victim if they use
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -140,7 +140,10 @@
 	if r.Progress > t.progress {
 		t.progress, t.progressAt = r.Progress, now
 	}
-	t.used, t.tail = r.Used, r.Tail
+	if r.Tail != t.tail || now-t.tailAt >= readingSpan {
+		t.tail, t.tailAt = r.Tail, now
+	}
+	t.used = r.Used
 	if t.stopping && t.stopAgain != 0 && now >= t.stopAgain {
 		t.stopAgain = 0
 		w.send(&Order{kind: orderStop, task: t, ref: r.Ref})
--- a/internal/job/dotterboard/load.go
+++ b/internal/job/dotterboard/load.go
@@ -1,17 +1,24 @@
 package dotterboard
 
-import "github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+import (
+	"math"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+)
 
 const (
-	// servingUse is the part of its declared processor time that a serving task is
-	// taken to use: they declare for their peaks.
-	servingUse = 0.5
 	// unmeasuredUse is the part of its declared processor time that any other task is
 	// taken to use before it was measured: they declare up to half more than they use.
 	unmeasuredUse = 0.85
 	// loadKept is how long a load is kept though nothing has changed on the worker:
 	// until what began lately may have settled.
 	loadKept = settleSpan / 2
+	// imageAffinity is the weight of serving tasks of the same image against those of the
+	// same step, whose load rises and falls together.
+	imageAffinity = 0.6
+	// pressSpan is how far ahead a filling task is held against the loads of serving
+	// ones: most take one or two seconds, and can move later.
+	pressSpan = 1200 * dotterclock.Millisecond
 )
 
 // load is what a plan needs to know of a worker. It is kept until something changes
@@ -30,6 +37,7 @@
 // press is what a filling image does to one serving task.
 type press struct {
 	load  float64 // of the serving task, as predicted beside what is there
+	swing float64 // variance of load, by what is there
 	slope float64 // that the image adds for the whole worker
 	doubt float64 // deviation of slope
 }
@@ -58,7 +66,7 @@
 func use(now dotterclock.Millis, t *task) int64 {
 	size := float64(t.step.Size.MilliCores)
 	if t.step.Serves() {
-		return int64(servingUse * size)
+		return int64(t.ownLoad(now, now+pressSpan) * size) // they declare for their peaks
 	}
 	if t.phase == running && now-t.startedAt > settleSpan && t.pace == 100 && float64(t.used) > size/2 {
 		return t.used
@@ -71,18 +79,23 @@
 	return l.worker.Capacity.MilliCores - l.used
 }
 
-// affinity returns the declared processor time of serving tasks of the image on the
-// worker less that of other serving tasks.
-func (l *load) affinity(image string) float64 {
-	sum := int64(0)
+// affinity returns how much of the declared processor time of the worker's serving
+// tasks has users in common with the step: those of the same step count in full, those of
+// its image in part, and others against it.
+func (l *load) affinity(s *step) float64 {
+	sum := 0.0
 	for _, t := range l.serving {
-		if t.step.Image == image {
-			sum += t.step.Size.MilliCores
-		} else {
-			sum -= t.step.Size.MilliCores
+		size := float64(t.step.Size.MilliCores)
+		switch {
+		case t.step == s:
+			sum += size
+		case t.step.Image == s.Image:
+			sum += imageAffinity * size
+		default:
+			sum -= size
 		}
 	}
-	return float64(sum)
+	return sum
 }
 
 // pressesOf returns what the step's image does to the serving tasks on the worker.
@@ -93,9 +106,11 @@
 	}
 	for _, victim := range l.serving {
 		e := b.learned.slope(now, victim, image)
-		p := press{load: victim.ownLoad(now).Mean, slope: e.Mean, doubt: e.Deviation}
+		p := press{load: victim.ownLoad(now, now+pressSpan), slope: e.Mean, doubt: e.Deviation}
 		for _, t := range l.filling {
-			p.load += b.learned.slope(now, victim, t.step.Image).Mean * share(now, l.worker, t)
+			added := b.learned.slope(now, victim, t.step.Image).Mean * share(now, l.worker, t)
+			p.load += added
+			p.swing += square(pressVariation * added)
 		}
 		ps = append(ps, p)
 	}
@@ -103,12 +118,13 @@
 	return ps
 }
 
-// pressed returns the highest load that a serving task on the worker is predicted to
-// have beside one more task of the step, and how doubtful that is.
+// pressed returns the highest load that a serving task on the worker may well have
+// beside one more task of the step, and how doubtful that is.
 func (b *Board) pressed(now dotterclock.Millis, l *load, s *step) (highest, doubt float64) {
 	share := unmeasuredUse * float64(s.Size.MilliCores) / float64(max(1, l.worker.Capacity.MilliCores))
 	for _, p := range b.pressesOf(now, l, s.Image) {
-		highest = max(highest, p.load+p.slope*share)
+		added := p.slope * share
+		highest = max(highest, p.load+added+math.Sqrt(p.swing+square(pressVariation*added)))
 		doubt = max(doubt, p.doubt*share)
 	}
 	return highest, doubt
@@ -123,3 +139,7 @@
 	}
 	return sum
 }
+
+func square(x float64) float64 {
+	return x * x
+}
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -15,10 +15,10 @@
 	// loadStrict is the predicted load of a serving task up to which its worker gets
 	// one more task that presses on it, as long as that task has time to wait for
 	// another worker; at 0.8 the tail is at its target.
-	loadStrict = 0.58
+	loadStrict = 0.66
 	// loadLoose replaces loadStrict for a task that has waited for patienceSpan, and
 	// for all while filling tasks queue.
-	loadLoose = 0.74
+	loadLoose = 0.77
 	// backlogPart is the number of filling tasks that wait, by worker, from which they
 	// count as a queue.
 	backlogPart = 0.5
@@ -123,9 +123,10 @@
 		return score - highest - doubtWeight*doubt - float64(l.used)/capacity, true
 	case s.Serves():
 		// Serving tasks together, so that others find workers without any; those of one
-		// image together, so that each filling image finds workers where it harms none;
+		// step together, so that their worker bears more while their users are few, and
+		// those of one image, so that each filling image finds workers where it harms none;
 		// and away from filling tasks that are known to press on them.
-		return score + float64(w.reserved.MilliCores)/capacity + l.affinity(s.Image)/capacity - b.pressedBy(now, l, s), true
+		return score + float64(w.reserved.MilliCores)/capacity + l.affinity(s)/capacity - b.pressedBy(now, l, s), true
 	}
 	// Beside serving tasks, which it does not disturb, and into the smallest gap that takes it.
 	return score + float64(w.reserved.MilliCores)/capacity, true
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -4,7 +4,6 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
-	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
 
 // phase is how far the current run of a task has come.
@@ -45,12 +44,11 @@
 	timed      bool               // its progress has told how fast the worker is
 	used       int64
 	tail       dotterclock.Millis
+	tailAt     dotterclock.Millis // when the tail was first listed as it is; 0: no reading yet
 	overSince  dotterclock.Millis // serving: since when the tail is over the target; 0: it is not
 	pace       int                // percent that is in force
 	paceWanted int
-	pacedAt    dotterclock.Millis          // when the pace changed last
-	load       dotterinterference.Estimate // serving: the load that it causes itself
-	loadAt     dotterclock.Millis
+	pacedAt    dotterclock.Millis // when the pace changed last
 }
 
 // id returns the task's name.
--- /dev/null
+++ b/internal/job/dotterboard/trend.go
@@ -0,0 +1,98 @@
+package dotterboard
+
+import (
+	"math"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
+)
+
+const (
+	// usualLoad and usualDeviation are what is assumed of a serving step's own load
+	// before its tails tell.
+	usualLoad      = 0.45
+	usualDeviation = 0.2
+	// usualRate is the standard deviation of its rate, a second: loads swing by about
+	// half within some seconds.
+	usualRate = 0.1
+	// rateNoise is the variance that the rate gains in a second.
+	rateNoise = 0.003
+	// rangeSpan is how long a trend is watched before its extremes bound what it is
+	// taken to reach: users' loads come and go in cycles of some seconds.
+	rangeSpan = 12 * dotterclock.Second
+)
+
+// trend is the load that the users of a serving step cause. All its tasks have it, as
+// the users are spread over them. A Kalman filter follows its level and its rate.
+type trend struct {
+	at                                      dotterclock.Millis // 0: no reading yet
+	since                                   dotterclock.Millis
+	level, rate                             float64
+	levelVariance, covariance, rateVariance float64
+	lowest, highest                         float64
+}
+
+// advance moves the trend on to the instant.
+func (r *trend) advance(now dotterclock.Millis) {
+	if r.at == 0 {
+		*r = trend{
+			at: now, since: now, level: usualLoad, levelVariance: usualDeviation * usualDeviation, rateVariance: usualRate * usualRate,
+			lowest: usualLoad, highest: usualLoad,
+		}
+		return
+	}
+	s := (now - r.at).Seconds()
+	if s <= 0 {
+		return
+	}
+	r.at = now
+	r.level += r.rate * s
+	r.levelVariance += 2*s*r.covariance + s*s*r.rateVariance + rateNoise*s*s*s/3
+	r.covariance += s*r.rateVariance + rateNoise*s*s/2
+	r.rateVariance += rateNoise * s
+	r.bound()
+}
+
+// bound keeps the level within what loads can be, and the variance within what was
+// assumed without readings.
+func (r *trend) bound() {
+	if most := usualDeviation * usualDeviation; r.levelVariance > most {
+		shrink := most / r.levelVariance
+		r.levelVariance, r.covariance = most, r.covariance*math.Sqrt(shrink)
+	}
+	r.rateVariance = min(r.rateVariance, usualRate*usualRate)
+	r.level = min(1, max(0, r.level))
+}
+
+// correct takes in a reading's correction of the level: the estimate after it, as the
+// interference model has weighed it against the effects of other images.
+func (r *trend) correct(after dotterinterference.Estimate) {
+	if r.levelVariance <= 0 {
+		return
+	}
+	gain := max(0, 1-after.Deviation*after.Deviation/r.levelVariance)
+	r.rate += r.covariance / r.levelVariance * (after.Mean - r.level)
+	r.rateVariance -= gain * r.covariance * r.covariance / r.levelVariance
+	r.covariance *= 1 - gain
+	r.level, r.levelVariance = after.Mean, after.Deviation*after.Deviation
+	r.bound()
+	r.lowest, r.highest = min(r.lowest, r.level), max(r.highest, r.level)
+}
+
+// now returns the estimate of the level at the trend's instant.
+func (r *trend) now() dotterinterference.Estimate {
+	return dotterinterference.Estimate{Mean: r.level, Deviation: math.Sqrt(max(0, r.levelVariance))}
+}
+
+// ahead returns the expected level at an instant. Readings tell of the time some
+// moments before them.
+func (r *trend) ahead(at dotterclock.Millis) float64 {
+	if r.at == 0 {
+		return usualLoad
+	}
+	level := r.level + r.rate*(at+readingLag-r.at).Seconds()
+	if r.at-r.since >= rangeSpan {
+		return min(r.highest, max(r.lowest, level))
+	}
+	return min(1, max(0, level))
+}
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -91,9 +91,13 @@
 	p.change(id, func(w *Worker) { w.Draining = draining })
 }
 
-// SetTail sets the tail that serving tasks on a worker have.
-func (p *Pool) SetTail(id string, tail dotterclock.Millis) {
-	p.change(id, func(w *Worker) { w.tail = tail })
+// SetTail sets the tail that a task on a worker lists.
+func (p *Pool) SetTail(id string, task dotterjob.TaskID, tail dotterclock.Millis) {
+	p.change(id, func(w *Worker) {
+		if r, ok := w.running[task]; ok {
+			r.tail = tail
+		}
+	})
 }
 
 // SetSlow makes runs that a worker starts from now on take factor times as long.
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -19,12 +19,11 @@
 	ended   []dotterrun.End
 	number  int64
 
-	dark    bool // answers nobody; what runs goes on
-	crashed bool // runs nothing and answers nobody
-	mute    int  // answers to lose: the order is carried out
-	late    int  // orders to carry out only when the pool says so
-	failing bool // every run fails at once
-	tail    dotterclock.Millis
+	dark    bool               // answers nobody; what runs goes on
+	crashed bool               // runs nothing and answers nobody
+	mute    int                // answers to lose: the order is carried out
+	late    int                // orders to carry out only when the pool says so
+	failing bool               // every run fails at once
 	slow    dotterclock.Millis // factor by which runs take longer; 0: none
 }
 
@@ -35,6 +34,7 @@
 	span    dotterclock.Millis
 	failing bool
 	pace    int
+	tail    dotterclock.Millis
 }
 
 // clock returns the worker's clock: milliseconds of its present life.
@@ -130,7 +130,7 @@
 	l := dotterrun.Listing{Clock: w.clock(), Born: w.born, Ended: append([]dotterrun.End(nil), w.ended...)}
 	now := w.pool.clock.Now()
 	for _, r := range w.running {
-		listed := dotterrun.Running{Ref: r.Ref, Progress: int(100 * (now - r.begun) / max(1, r.span)), Tail: w.tail}
+		listed := dotterrun.Running{Ref: r.Ref, Progress: int(100 * (now - r.begun) / max(1, r.span)), Tail: r.tail}
 		if s, ok := w.pool.stepOf(r.Task); ok && !s.Serves() {
 			listed.Used, listed.Tail = s.Size.MilliCores, 0
 		}
