Keep the cost of plans independent of the queue

Every listing and every answer to a start planned again, each plan ranked all workers once for each task and for each step that had just found none, and what waits makes the next plan dearer.

Change: workers are ranked once a step and kept in a heap; a step that found no worker, and all like it, are looked at again after 60 ms (filling) or 10 ms; plans happen on changes that can matter and pause for three times as long as the last one took; the longest chain of steps is computed once a job.

Ruled out: room lost to strangers or to a leak (the dump of reservations adds up).

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -35,6 +35,8 @@
 	pool      speed   // of all workers
 	backlog   float64 // filling tasks that wait; 1 from which they count as a queue
 	counters  Counters
+	settledAt dotterclock.Millis // when it was last looked for what is over
+	blocked   map[blockedKey][]blockedSize
 	waitLogAt dotterclock.Millis // when a waiting step was logged last
 	expired   []dotterjob.ID     // final jobs whose record can go
 }
@@ -45,6 +47,7 @@
 	return &Board{
 		settings: settings, epoch: epoch, began: now, former: former, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, out: map[string]bool{}, learned: newLearned(), counters: newCounters(),
+		blocked: map[blockedKey][]blockedSize{},
 	}
 }
 
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -42,6 +42,7 @@
 	waiting    int // tasks that are not bound and not done
 	done       int
 	readyAt    dotterclock.Millis // when its tasks were first seen to be ready; 0: not yet
+	remaining  dotterclock.Millis // declared length of the longest chain of steps from this one on
 	users      trend              // serving: the load that its users cause
 	tickets    *tickets           // admission of workers, where the queue has a policy
 }
@@ -59,7 +60,7 @@
 }
 
 func newStep(o *occurrence, number int, s dotterjob.Step) *step {
-	n := &step{Step: s, occurrence: o, number: number, waiting: s.Count}
+	n := &step{Step: s, occurrence: o, number: number, waiting: s.Count, remaining: chainFrom(o.job.Steps, number)}
 	for i := range s.Count {
 		n.tasks = append(n.tasks, &task{step: n, index: i})
 	}
@@ -115,13 +116,13 @@
 	return longest
 }
 
-// remaining returns the declared length of the longest chain of steps from the step on.
-func (s *step) remaining() dotterclock.Millis {
-	steps := s.occurrence.job.Steps
+// chainFrom returns the declared length of the longest chain of steps that begins with
+// the one of the number.
+func chainFrom(steps []dotterjob.Step, number int) dotterclock.Millis {
 	lengths := make([]dotterclock.Millis, len(steps))
 	longest := dotterclock.Millis(0)
-	lengths[s.number] = s.Estimate
-	for i := s.number; i < len(steps); i++ {
+	lengths[number] = steps[number].Estimate
+	for i := number; i < len(steps); i++ {
 		for _, after := range steps[i].After {
 			if lengths[after] > 0 {
 				lengths[i] = max(lengths[i], lengths[after]+steps[i].Estimate)
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -40,7 +40,6 @@
 		b.logger.Warn("worker does not answer", zap.String("Worker", id), zap.Int("Runs", len(w.runs)),
 			zap.Int64("HeardMsAgo", int64(now-w.heardAt)), zap.Error(err))
 	}
-	b.notify()
 }
 
 // Listed takes in a listing that was asked for at sentAt.
@@ -62,6 +61,9 @@
 	if w.failedAt != 0 {
 		b.logger.Info("worker answers again", zap.String("Worker", id), zap.Int64("SilentMs", int64(now-w.heardAt)))
 	}
+	if !w.asked || w.failedAt != 0 {
+		b.notify() // it takes tasks from now on
+	}
 	if w.Born != l.Born {
 		b.replaceLife(now, w, l.Born)
 	}
@@ -101,7 +103,6 @@
 		}
 	}
 	b.judge(now, w)
-	b.notify()
 }
 
 // replaceLife takes in that the worker has restarted: whatever it ran is gone.
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -102,7 +102,6 @@
 func (b *Board) Answered(now dotterclock.Millis, o *Order, answer dotterrun.Answer, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	defer b.notify()
 	if w, ok := b.workers[o.Worker.ID]; ok {
 		if err != nil {
 			w.doubted = true
@@ -112,6 +111,7 @@
 	}
 	if answer.Refused == dotterrun.RefusedEpoch {
 		b.deposed = true
+		b.notify()
 		return
 	}
 	t := o.task
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -141,29 +141,12 @@
 
 // choose returns the best worker for a task of the step, or nil.
 func (p *plan) choose(s *step) *worker {
-	var best *worker
-	bestScore := 0.0
-	var obstacles [obstacleKinds]int
-	reserved := s.Reserved()
-	for _, w := range p.workers[s.occurrence.job.queue.Service] {
-		l := p.load(w)
-		if o := p.obstacle(l, s, reserved); o != noObstacle {
-			obstacles[o]++
-			continue
-		}
-		score, ok := p.board.score(p.now, l, s)
-		if !ok {
-			obstacles[blockedLoad]++
-			continue
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	if best == nil {
-		p.board.waits(p.now, s, obstacles)
+	r := p.rank(s)
+	w := r.best()
+	if w == nil {
+		p.board.waits(p.now, s, r.obstacles)
 	}
-	return best
+	return w
 }
 
 // waitLogSpan is how often a step that finds no worker is logged.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -15,7 +15,6 @@
 	wall    dotterclock.Millis
 	workers map[string][]*worker // by service
 	rack    string               // that a gang which depends on its rack is tried on
-	blocked map[blockedKey][]dotterroom.Room
 }
 
 // candidate is a step that has tasks to place.
@@ -38,7 +37,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.settle(now)
-	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, blocked: map[blockedKey][]dotterroom.Room{}}
+	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}}
 	candidates := p.candidates()
 	if len(candidates) == 0 {
 		return now + heardSpan
@@ -50,13 +49,33 @@
 		}
 	}
 	b.backlog = p.backlog(candidates)
+	p.unblock()
+	next := now + replanSpan
 	for _, c := range candidates {
-		if !p.isBlocked(c.step) && !p.place(c.step) {
+		if p.isBlocked(c.step) {
+			next = min(next, now+blockedSpan(c.step))
+		} else if !p.place(c.step) {
 			key := keyOf(c.step)
-			p.blocked[key] = append(p.blocked[key], c.step.Size)
+			b.blocked[key] = append(b.blocked[key], blockedSize{size: c.step.Size, until: now + blockedSpan(c.step)})
+			next = min(next, now+blockedSpan(c.step))
 		}
 	}
-	return now + replanSpan
+	return next
+}
+
+const (
+	// fillRetrySpan is how long filling steps that found no worker wait before they are
+	// looked at again: it is short beside their tasks, and tails change no faster.
+	fillRetrySpan = 60 * dotterclock.Millisecond
+	// retrySpan is the same for other steps, which wait for room.
+	retrySpan = 10 * dotterclock.Millisecond
+)
+
+func blockedSpan(s *step) dotterclock.Millis {
+	if s.Fills {
+		return fillRetrySpan
+	}
+	return retrySpan
 }
 
 // backlog returns how much filling work waits, 1 from which it counts as a queue.
@@ -94,10 +113,31 @@
 	return k
 }
 
-// isBlocked reports whether a like step that asks for no more room has found no worker.
+// blockedSize is a size for which steps of a key have found no worker.
+type blockedSize struct {
+	size  dotterroom.Room
+	until dotterclock.Millis
+}
+
+// unblock forgets the sizes that are worth another look.
+func (p *plan) unblock() {
+	for key, sizes := range p.board.blocked {
+		sizes = slices.DeleteFunc(sizes, func(s blockedSize) bool { return s.until <= p.now })
+		if len(sizes) == 0 {
+			delete(p.board.blocked, key)
+		} else {
+			p.board.blocked[key] = sizes
+		}
+	}
+}
+
+// isBlocked reports whether a like step that asks for no more room has just found no worker.
 func (p *plan) isBlocked(s *step) bool {
-	for _, size := range p.blocked[keyOf(s)] {
-		if size.Fits(s.Size) {
+	if len(p.board.blocked) == 0 {
+		return false
+	}
+	for _, b := range p.board.blocked[keyOf(s)] {
+		if b.size.Fits(s.Size) {
 			return true
 		}
 	}
@@ -118,7 +158,7 @@
 						s.readyAt = p.now
 					}
 					c := candidate{step: s, objective: o.objective(p.wall, p.now)}
-					c.late = p.now+dotterclock.Millis(estimateTrust*float64(s.remaining())) > c.objective
+					c.late = p.now+dotterclock.Millis(estimateTrust*float64(s.remaining)) > c.objective
 					cs = append(cs, c)
 				}
 			}
@@ -149,15 +189,18 @@
 	if s.Gang {
 		return p.placeGang(s)
 	}
+	r := p.rank(s)
 	for _, t := range s.tasks {
 		if t.phase != waiting {
 			continue
 		}
-		w := p.choose(s)
+		w := r.best()
 		if w == nil {
+			p.board.waits(p.now, s, r.obstacles)
 			return false
 		}
 		p.bind(t, w)
+		r.update()
 	}
 	return true
 }
--- a/internal/job/dotterboard/settle.go
+++ b/internal/job/dotterboard/settle.go
@@ -6,8 +6,16 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 )
 
+// tidySpan is how often it is looked for leases that have lapsed and for what is over,
+// both of which take seconds.
+const tidySpan = 50 * dotterclock.Millisecond
+
 // settle gives up runs whose lease has surely lapsed and forgets what is over.
 func (b *Board) settle(now dotterclock.Millis) {
+	if now-b.settledAt < tidySpan {
+		return
+	}
+	b.settledAt = now
 	for _, w := range b.order {
 		if len(w.runs) > 0 && now >= w.lapsedAt(b.settings, b.former) {
 			for _, t := range w.runs {
--- a/internal/server/dotterscheduler/term.go
+++ b/internal/server/dotterscheduler/term.go
@@ -21,6 +21,8 @@
 const (
 	// planSpan is the shortest time between two plans: what happens meanwhile is planned together.
 	planSpan = 5 * dotterclock.Millisecond
+	// planRest is the pause after a plan, in the time that it took.
+	planRest = 3
 	// commitSpan is the shortest time between two commits that somebody waits for.
 	commitSpan = 12 * dotterclock.Millisecond
 	// lazySpan is how long ends wait for a commit that is made anyway.
@@ -98,14 +100,16 @@
 	return revision, nil
 }
 
-// plan plans whenever something has changed.
+// plan plans whenever something has changed, and leaves the processor to orders and
+// commits for longer the longer a plan takes.
 func (t term) plan(ctx context.Context, b *dotterboard.Board, changed <-chan struct{}) {
 	for {
-		next := b.Plan(t.clock.Now(), wall())
+		began := t.clock.Now()
+		next := b.Plan(began, wall())
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.clock.After(planSpan):
+		case <-t.clock.After(max(planSpan, planRest*(t.clock.Now()-began))):
 		}
 		select {
 		case <-ctx.Done():
