Hand what was learned of images to a successor; order steps by what they can still come to

Change: the owner writes what it learned with a commit each 3 s; a successor reads it with the shard. Steps of one rank get room in this order: what can be in time, what can still be of use (three times its objective), the rest; what ends soon before what lasts; large tasks before small ones; then by objective.

Ruled out: keeping room free for short tasks. Tasks that last and wait beside room for them would count as lost.

--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -1,6 +1,7 @@
 package dotterboard
 
 import (
+	"math/bits"
 	"slices"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -8,6 +9,10 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 )
 
+// smallestCores is the processor time of the smallest class of tasks, in thousandths of
+// a core: the gaps that are usually left on a full worker take them.
+const smallestCores = 6_000
+
 // job is a job and how far it has come.
 type job struct {
 	dotterjob.Job
@@ -67,6 +72,12 @@
 	return n
 }
 
+// sizeClass returns the logarithm of the processor time that a task of the step takes
+// away from others; filling ones take none.
+func (s *step) sizeClass() int {
+	return bits.Len64(uint64(s.Reserved().MilliCores / smallestCores))
+}
+
 // ready reports whether tasks of the step may start.
 func (s *step) ready(wall dotterclock.Millis) bool {
 	if s.occurrence.due > wall {
@@ -133,14 +144,18 @@
 	return longest
 }
 
-// objective returns by when the occurrence should be done.
-func (o *occurrence) objective(wall, now dotterclock.Millis) dotterclock.Millis {
-	begin := o.job.seenAt
+// begin returns the instant from which the occurrence's users wait for it.
+func (o *occurrence) begin(wall, now dotterclock.Millis) dotterclock.Millis {
 	if o.due > 0 {
-		begin = now + o.due - wall
+		return now + o.due - wall
 	}
+	return o.job.seenAt
+}
+
+// objective returns by when the occurrence should be done.
+func (o *occurrence) objective(wall, now dotterclock.Millis) dotterclock.Millis {
 	stretch := max(1, o.job.queue.Stretch)
-	return begin + dotterclock.Millis(stretch*float64(o.job.length)) + o.job.queue.Target
+	return o.begin(wall, now) + dotterclock.Millis(stretch*float64(o.job.length)) + o.job.queue.Target
 }
 
 // deleteJob returns jobs without j.
--- a/internal/job/dotterboard/learned.go
+++ b/internal/job/dotterboard/learned.go
@@ -1,6 +1,8 @@
 package dotterboard
 
 import (
+	"encoding/json"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
 )
@@ -98,6 +100,25 @@
 	return max(users.ahead(now), users.ahead(until))
 }
 
+// keptTerms is how many effects a successor is told of: some hundred images, each with
+// the few that it meets.
+const keptTerms = 1000
+
+// Learned returns what the board has learned of images, for a successor.
+func (b *Board) Learned(now dotterclock.Millis) ([]byte, error) {
+	return json.Marshal(b.learned.model.Learned(now, keptTerms))
+}
+
+// RestoreLearned takes over what a predecessor had learned of images.
+func (b *Board) RestoreLearned(now dotterclock.Millis, stored []byte) error {
+	var known []dotterinterference.Learned
+	if err := json.Unmarshal(stored, &known); err != nil {
+		return err
+	}
+	b.learned.model.Restore(now, known)
+	return nil
+}
+
 // slope returns what tasks of the image add to the load of the victim if they use
 // the whole worker.
 func (l learned) slope(now dotterclock.Millis, victim *task, image string) dotterinterference.Estimate {
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -21,9 +21,22 @@
 type candidate struct {
 	step      *step
 	objective dotterclock.Millis
-	late      bool // it can hardly be done by then
+	prospect  prospect
 }
 
+// prospect is what a step's job can still come to, in the order in which steps of one
+// rank get room.
+type prospect int
+
+const (
+	inTime  prospect = iota // it can be done by its objective
+	late                    // it can still be of use
+	useless                 // its users have stopped waiting for it
+)
+
+// lateFactor is how many times its objective a job may take and still be of use.
+const lateFactor = 3
+
 // estimateTrust is the part of its declared run time that a job surely takes;
 // declarations are off by half, either way.
 const estimateTrust = 0.6
@@ -157,9 +170,8 @@
 					if s.readyAt == 0 {
 						s.readyAt = p.now
 					}
-					c := candidate{step: s, objective: o.objective(p.wall, p.now)}
-					c.late = p.now+dotterclock.Millis(estimateTrust*float64(s.remaining)) > c.objective
-					cs = append(cs, c)
+					objective := o.objective(p.wall, p.now)
+					cs = append(cs, candidate{step: s, objective: objective, prospect: p.prospect(s, objective)})
 				}
 			}
 		}
@@ -167,13 +179,33 @@
 	slices.SortStableFunc(cs, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.step.occurrence.job.queue.Rank, b.step.occurrence.job.queue.Rank),
-			compareBool(a.late, b.late), // what can still be in time goes first
+			cmp.Compare(a.prospect, b.prospect),
+			// What lasts keeps its room a hundred times as long as what ends.
+			compareBool(a.step.LongRunning, b.step.LongRunning),
+			// Small tasks find room beside others, and would split what large ones need.
+			cmp.Compare(b.step.sizeClass(), a.step.sizeClass()),
 			cmp.Compare(a.objective, b.objective),
 		)
 	})
 	return cs
 }
 
+// prospect returns what the step's job can come to if its tasks start now.
+func (p *plan) prospect(s *step, objective dotterclock.Millis) prospect {
+	if s.LongRunning {
+		return inTime // each moment that it is at work counts
+	}
+	soonest := p.now + dotterclock.Millis(estimateTrust*float64(s.remaining))
+	begin := s.occurrence.begin(p.wall, p.now)
+	switch {
+	case soonest <= objective:
+		return inTime
+	case soonest <= begin+lateFactor*(objective-begin):
+		return late
+	}
+	return useless
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/job/dotterboard/plan_test.go
+++ b/internal/job/dotterboard/plan_test.go
@@ -60,3 +60,43 @@
 	s.until(3000, s.is(low, dotterjob.Completed))
 	s.kept()
 }
+
+// TestOrderOfSteps is the load of a full pool: of two jobs that wait for the only
+// worker's room, the one that is worth more by then goes first.
+func TestOrderOfSteps(t *testing.T) {
+	short, large, lasting := tasks(1, 4000), tasks(1, 4000), servingOf("serving", 1)
+	short.Size = dotterroom.Room{MilliCores: 33_000, MemoryMB: 8000} // two don't fit beside each other
+	large.Size = dotterroom.Room{MilliCores: 60_000, MemoryMB: 8000}
+	lasting.Size = short.Size
+	const objective = 6250 // of a job of four seconds: 1.5 times that and 250 ms
+	tests := map[string]struct {
+		first, second       dotterjob.Step // the second is accepted later
+		firstAge, secondAge dotterclock.Millis
+		wanted              int
+	}{
+		"the older one":                       {first: short, second: short, firstAge: 400, wanted: 0},
+		"in time before late":                 {first: short, second: short, firstAge: objective, wanted: 1},
+		"late before useless":                 {first: short, second: short, firstAge: 4 * objective, secondAge: objective, wanted: 1},
+		"useless ones by age":                 {first: short, second: short, firstAge: 5 * objective, secondAge: 4 * objective, wanted: 0},
+		"what ends soon before what lasts":    {first: lasting, second: short, firstAge: 400, wanted: 1},
+		"what lasts before what is late":      {first: short, second: lasting, firstAge: objective, wanted: 1},
+		"large ones before those that fit in": {first: short, second: large, firstAge: 400, wanted: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 1)
+			s.run(200)
+			whole := tasks(1, 1000)
+			whole.Size = dotterroom.Room{MilliCores: 64_000, MemoryMB: 240_000}
+			s.submit(1, whole)
+			s.run(100)
+			waiting := []dotterjob.ID{s.submitAged(2, tc.firstAge, tc.first), s.submitAged(3, tc.secondAge, tc.second)}
+			s.until(3000, func() bool {
+				return s.state(waiting[0]) != dotterjob.Queued || s.state(waiting[1]) != dotterjob.Queued
+			})
+			assert.Equal(t, dotterjob.Running, s.state(waiting[tc.wanted]))
+			assert.Equal(t, dotterjob.Queued, s.state(waiting[1-tc.wanted]))
+			s.kept()
+		})
+	}
+}
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -39,7 +39,8 @@
 	epoch    int64
 	accepted []dotterjob.Job
 	stored   map[dotterjob.ID][]byte
-	storing  bool // the store answers
+	storing  bool   // the store answers
+	learned  []byte // what the store has of what was learned
 	asked    map[string]dotterclock.Millis
 }
 
@@ -82,6 +83,9 @@
 	for id, record := range s.stored {
 		require.NoError(s.t, s.board.Restore(now, id, record))
 	}
+	if s.learned != nil {
+		require.NoError(s.t, s.board.RestoreLearned(now, s.learned))
+	}
 	s.asked = map[string]dotterclock.Millis{}
 }
 
@@ -91,13 +95,22 @@
 }
 
 func (s *shard) submitTo(queue string, number int, steps ...dotterjob.Step) dotterjob.ID {
+	return s.accept(queue, number, 0, steps)
+}
+
+// submitAged accepts a job of the step that has waited for age.
+func (s *shard) submitAged(number int, age dotterclock.Millis, step dotterjob.Step) dotterjob.ID {
+	return s.accept(testQueue, number, age, []dotterjob.Step{step})
+}
+
+func (s *shard) accept(queue string, number int, age dotterclock.Millis, steps []dotterjob.Step) dotterjob.ID {
 	j := dotterjob.Job{
-		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: queue, AcceptedAt: s.clock.Now(), Spec: fmt.Sprintf("spec %d", number), Steps: steps,
+		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: queue, AcceptedAt: s.clock.Now() - age, Spec: fmt.Sprintf("spec %d", number), Steps: steps,
 	}
 	require.NoError(s.t, j.Check())
 	s.pool.Expect(j)
 	s.accepted = append(s.accepted, j)
-	s.board.Accept(s.clock.Now(), 0, j)
+	s.board.Accept(s.clock.Now(), age, j)
 	return j.ID
 }
 
--- a/internal/job/dotterboard/trend_test.go
+++ b/internal/job/dotterboard/trend_test.go
@@ -1,11 +1,13 @@
 package dotterboard
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
@@ -96,3 +98,41 @@
 	assert.Less(t, d.over, testSettings.HarmSpan)
 	d.kept()
 }
+
+// TestSuccessorKnowsWhatImagesDo: after a takeover filling work goes on without the
+// harm of learning again what it does to serving tasks.
+func TestSuccessorKnowsWhatImagesDo(t *testing.T) {
+	const workers, images = 8, 10
+	factors := map[string]float64{}
+	for i := range images {
+		factors[fmt.Sprintf("heavy%d", i)] = 4
+	}
+	d := newDisturbed(t, workers, 0.5, factors)
+	work := func(from int) {
+		d.harmed, d.served = 0, 0
+		for i := range images {
+			d.submitTo(lowQueue, from+i, fillingOf(fmt.Sprintf("heavy%d", i), 4, 1500, true))
+			d.pass(500)
+		}
+		d.pass(10_000)
+	}
+	work(1)
+	assert.Positive(t, d.harmed, "the first owner had to learn")
+	learned, err := d.board.Learned(d.clock.Now())
+	require.NoError(t, err)
+	d.learned = learned
+	d.takeOver(0)
+	d.pass(1500)
+	work(100)
+	assert.Zero(t, d.harmed, "of %d ms", d.served)
+	d.kept()
+}
+
+func TestLearnedThatCantBeReadIsRefused(t *testing.T) {
+	b := newShard(t, 1).board
+	assert.Error(t, b.RestoreLearned(1, []byte("no json")))
+	assert.NoError(t, b.RestoreLearned(1, []byte(`[{"Victim":"v","Aggressor":"a","Mean":1,"Variance":-1},{"Aggressor":"a","Mean":2}]`)))
+	learned, err := b.Learned(1)
+	require.NoError(t, err)
+	assert.JSONEq(t, "[]", string(learned))
+}
--- a/internal/server/dotterscheduler/term.go
+++ b/internal/server/dotterscheduler/term.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterdispatch"
@@ -33,6 +34,9 @@
 	adviseSpan = 20 * dotterclock.Millisecond
 	// adviceSpan bounds a question to a policy, which takes its time for each worker.
 	adviceSpan = 2 * dotterclock.Second
+	// learnedSpan is how often what was learned of images goes along with a commit: a
+	// successor needs about ten seconds to learn it again.
+	learnedSpan = 3 * dotterclock.Second
 	// loadSpan bounds the reading of the shard's state by a new owner.
 	loadSpan = 6 * dotterclock.Second
 )
@@ -97,9 +101,22 @@
 		}
 	}
 	sink.cancel(inbox)
+	t.loadLearned(call, b)
 	return revision, nil
 }
 
+// loadLearned takes over what the predecessor had learned. It can be learned again, so
+// that the owner does without if it can't be read.
+func (t term) loadLearned(ctx context.Context, b *dotterboard.Board) {
+	learned, err := t.platform.Store.Get(ctx, dotterentry.LearnedKey)
+	if err == nil {
+		err = b.RestoreLearned(t.clock.Now(), learned.Value)
+	}
+	if err != nil && !errors.Is(err, dotterelusher.ErrStoreNotFound) {
+		t.logger.Warn("effects of images are learned anew", zap.Error(err))
+	}
+}
+
 // plan plans whenever something has changed, and leaves the processor to orders and
 // commits for longer the longer a plan takes.
 func (t term) plan(ctx context.Context, b *dotterboard.Board, changed <-chan struct{}) {
@@ -142,6 +159,7 @@
 // commit writes the board's changes, and shows every beat that the owner lives.
 func (t term) commit(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain, changed <-chan struct{}) error {
 	last := t.clock.Now()
+	learnedAt := last
 	for {
 		now := t.clock.Now()
 		due := last + dotterhead.BeatSpan
@@ -161,7 +179,12 @@
 			continue
 		}
 		last = now
-		if err := t.commitBatch(ctx, b, chain); err != nil {
+		var more []dotterkey.Entry
+		if now-learnedAt >= learnedSpan {
+			learnedAt = now
+			more = t.learned(b)
+		}
+		if err := t.commitBatch(ctx, b, chain, more); err != nil {
 			return err
 		}
 		if b.Deposed() {
@@ -170,12 +193,22 @@
 	}
 }
 
-func (t term) commitBatch(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain) error {
-	batch, err := b.Batch(dotterhead.MostEntries)
+// learned returns the entry that tells a successor what was learned of images.
+func (t term) learned(b *dotterboard.Board) []dotterkey.Entry {
+	value, err := b.Learned(t.clock.Now())
+	if err != nil {
+		t.logger.Error("what was learned can't be kept", zap.Error(err))
+		return nil
+	}
+	return []dotterkey.Entry{{Key: dotterentry.LearnedKey, Value: value}}
+}
+
+// commitBatch writes a batch of the board's changes, and the entries along with it.
+func (t term) commitBatch(ctx context.Context, b *dotterboard.Board, chain *dotterhead.Chain, puts []dotterkey.Entry) error {
+	batch, err := b.Batch(dotterhead.MostEntries - len(puts))
 	if err != nil {
 		return err
 	}
-	var puts []dotterkey.Entry
 	for id, record := range batch.Records {
 		puts = append(puts, dotterkey.Entry{Key: dotterentry.ProgressKey(id), Value: record})
 	}
