--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -15,6 +15,7 @@
 	wall    dotterclock.Millis
 	workers map[string][]*worker // by service
 	rack    string               // that a gang which depends on its rack is tried on
+	scarce  []scarceImage        // that others make way for
 }
 
 // candidate is a step that has tasks to place.
@@ -62,6 +63,7 @@
 		}
 	}
 	b.backlog = p.backlog(candidates)
+	p.scarce = p.scarceImages(candidates)
 	p.unblock()
 	next := now + replanSpan
 	for _, c := range candidates {
