--- a/internal/job/dotterboard/control_test.go
+++ b/internal/job/dotterboard/control_test.go
@@ -33,40 +33,28 @@
 	const step = 100 * dotterclock.Millisecond
 	for range span / step {
 		for id, runs := range d.pool.Running() {
-			d.judge(id, runs, step)
+			pressed := 0.0
+			for _, r := range runs {
+				if t := d.board.find(r.Task); t.step.Fills {
+					pressed += d.factors[t.step.Image] * float64(t.step.Size.MilliCores) / 64_000 * float64(t.pace) / 100
+				}
+			}
+			d.judge(id, runs, pressed, step)
 		}
 		d.run(step)
 	}
 }
 
-// pressed returns what the filling runs add to the load of a serving task of the image.
-func (d *disturbed) pressed(runs []dotterrun.Ref, image string) float64 {
-	sum := 0.0
-	for _, r := range runs {
-		t := d.board.find(r.Task)
-		if !t.step.Fills {
-			continue
-		}
-		factor, ok := d.factors[t.step.Image+"/"+image]
-		if !ok {
-			factor = d.factors[t.step.Image]
-		}
-		sum += factor * float64(t.step.Size.MilliCores) / 64_000 * float64(t.pace) / 100
-	}
-	return sum
-}
-
 // judge sets the tails of the worker's serving tasks for a step of time.
-func (d *disturbed) judge(worker string, runs []dotterrun.Ref, step dotterclock.Millis) {
+func (d *disturbed) judge(worker string, runs []dotterrun.Ref, pressed float64, step dotterclock.Millis) {
 	over := false
 	for _, r := range runs {
-		serving := d.board.find(r.Task).step
-		if !serving.Serves() {
+		if !d.board.find(r.Task).step.Serves() {
 			continue
 		}
-		load := d.own + d.pressed(runs, serving.Image)
+		load := d.own + pressed
 		if d.users != nil {
-			load += d.users(r.Task.Job, d.clock.Now())
+			load = d.users(r.Task.Job, d.clock.Now()) + pressed
 		}
 		tail := dotterclock.Millis(quietTail * float64(testTarget) / max(0.02, 1-load))
 		d.pool.SetTail(worker, r.Task, tail)
--- a/internal/job/dotterboard/load.go
+++ b/internal/job/dotterboard/load.go
@@ -32,7 +32,6 @@
 	filling   []*task // that use what is left over
 	unsettled bool    // one of them began so lately that its effect does not show yet
 	presses   map[string][]press
-	bears     map[string]bool // whether one more task of a scarce image may go there
 }
 
 // press is what a filling image does to one serving task.
@@ -48,7 +47,7 @@
 	if l := w.load; l != nil && now-l.at < loadKept {
 		return l
 	}
-	l := &load{worker: w, at: now, presses: map[string][]press{}, bears: map[string]bool{}}
+	l := &load{worker: w, at: now, presses: map[string][]press{}}
 	for _, t := range w.runs {
 		l.used += use(now, t)
 		switch {
@@ -122,13 +121,8 @@
 // pressed returns the highest load that a serving task on the worker may well have
 // beside one more task of the step, and how doubtful that is.
 func (b *Board) pressed(now dotterclock.Millis, l *load, s *step) (highest, doubt float64) {
-	return b.pressedIf(now, l, s.Image, s.Size.MilliCores)
-}
-
-// pressedIf is pressed for a task of the image that declares so much processor time.
-func (b *Board) pressedIf(now dotterclock.Millis, l *load, image string, milliCores int64) (highest, doubt float64) {
-	share := unmeasuredUse * float64(milliCores) / float64(max(1, l.worker.Capacity.MilliCores))
-	for _, p := range b.pressesOf(now, l, image) {
+	share := unmeasuredUse * float64(s.Size.MilliCores) / float64(max(1, l.worker.Capacity.MilliCores))
+	for _, p := range b.pressesOf(now, l, s.Image) {
 		added := p.slope * share
 		highest = max(highest, p.load+added+math.Sqrt(p.swing+square(pressVariation*added)))
 		doubt = max(doubt, p.doubt*share)
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -15,7 +15,6 @@
 	wall    dotterclock.Millis
 	workers map[string][]*worker // by service
 	rack    string               // that a gang which depends on its rack is tried on
-	scarce  []scarceImage        // that others make way for
 }
 
 // candidate is a step that has tasks to place.
@@ -63,7 +62,6 @@
 		}
 	}
 	b.backlog = p.backlog(candidates)
-	p.scarce = p.scarceImages(candidates)
 	p.unblock()
 	next := now + replanSpan
 	for _, c := range candidates {
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -39,12 +39,8 @@
 	score, ok := r.plan.board.score(r.plan.now, l, r.step)
 	if !ok {
 		r.obstacles[blockedLoad]++
-		return 0, false
-	}
-	if r.step.Fills {
-		score -= scarceCost * r.plan.wantedBy(l, r.step.Image)
 	}
-	return score, true
+	return score, ok
 }
 
 // best returns the worker with the highest score, or nil if none gets a task.
