Read the head less often on weak hosts

Change: weak hosts read it each 1.2 s while the owner seems well. A takeover by a weak host is due 0.8 s later at most (TestTakeoverIsDueInTime gives both bounds).

--- a/internal/job/dotterhead/chain_test.go
+++ b/internal/job/dotterhead/chain_test.go
@@ -182,3 +182,44 @@
 		t.Fatal("nobody took the shard over")
 	}
 }
+
+// TestTakeoverIsDueInTime: hosts that look at the head as often as they pause find out
+// in time that it stands still; weak ones, most of a large site, read it less.
+func TestTakeoverIsDueInTime(t *testing.T) {
+	tests := map[string]struct {
+		weak   bool
+		most   dotterclock.Millis // from the owner's last beat to the takeover
+		perSec float64            // reads of the head a second, while the owner is well
+	}{
+		"strong host": {most: patience + pollSpan, perSec: 2.5},
+		"weak host":   {weak: true, most: patience + weakPatience + weakPollSpan, perSec: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := dotterclock.NewManual(1_000_000)
+			store := dottermemory.New(clock)
+			former := owner(t, store, clock, "a1")
+			k := newKeeper(store, clock, "b1", tc.weak)
+			reads := 0
+			look := func() {
+				k.look(t.Context())
+				reads++
+				clock.Advance(k.pause())
+			}
+			for end := clock.Now() + 10_000; clock.Now() < end; {
+				require.NoError(t, former.Commit(t.Context(), nil, nil))
+				look()
+				require.False(t, k.due())
+			}
+			assert.LessOrEqual(t, float64(reads)/10, tc.perSec)
+			beat := clock.Now()
+			require.NoError(t, former.Commit(t.Context(), nil, nil))
+			k.look(t.Context())
+			for !k.due() {
+				clock.Advance(k.pause())
+				k.look(t.Context())
+			}
+			assert.LessOrEqual(t, clock.Now()-beat, tc.most)
+		})
+	}
+}
--- a/internal/job/dotterhead/keeper.go
+++ b/internal/job/dotterhead/keeper.go
@@ -17,6 +17,9 @@
 	BeatSpan = 300 * dotterclock.Millisecond
 	// pollSpan is how often a host that is not the owner reads the head.
 	pollSpan = 400 * dotterclock.Millisecond
+	// weakPollSpan replaces pollSpan on weak hosts, which are most of a large site and
+	// take the shard over last.
+	weakPollSpan = 1200 * dotterclock.Millisecond
 	// hastyPollSpan replaces pollSpan while the owner is suspected.
 	hastyPollSpan = 150 * dotterclock.Millisecond
 	// patience is how long a head must stand still before it is taken over: four beats.
@@ -112,6 +115,14 @@
 	if k.suspected || !k.known || k.head.Released() {
 		return hastyPollSpan
 	}
+	return k.usualPollSpan()
+}
+
+// usualPollSpan returns how often this host reads the head of an owner that seems well.
+func (k *Keeper) usualPollSpan() dotterclock.Millis {
+	if k.weak {
+		return weakPollSpan
+	}
 	return pollSpan
 }
 
@@ -160,7 +171,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	if !k.known || k.readAt != 0 && now-k.readAt > pollSpan {
+	if !k.known || k.readAt != 0 && now-k.readAt > k.usualPollSpan() {
 		return false
 	}
 	wait := patience
