--- a/internal/job/dotterboard/board_test.go
+++ b/internal/job/dotterboard/board_test.go
@@ -1,6 +1,8 @@
 package dotterboard
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -337,6 +339,31 @@
 	s.kept()
 }
 
+// TestFaultyDeclarationsAreNotBlamedOnWorkers is the load of the larger sites: steps
+// declare times that are off by up to three times either way. No worker is slow, and
+// none is to lose its tasks for that.
+func TestFaultyDeclarationsAreNotBlamedOnWorkers(t *testing.T) {
+	s := newShard(t, 6)
+	s.run(200)
+	random := rand.New(rand.NewPCG(1, 2))
+	var ids []dotterjob.ID
+	for i := range 150 {
+		span := 800 + random.IntN(2000)
+		step := tasks(8, dotterclock.Millis(span))
+		step.Checkpoints = true
+		ids = append(ids, s.submitDeclared(i+1, dotterclock.Millis(float64(span)*math.Exp(2.2*(random.Float64()-0.5))), step))
+		s.run(300)
+	}
+	s.run(6000)
+	starts := 0
+	for _, id := range ids {
+		assert.Equal(t, dotterjob.Completed, s.state(id))
+		starts += s.pool.Starts(id)
+	}
+	assert.LessOrEqual(t, starts-8*len(ids), 8*len(ids)/100, "starts beyond one a task")
+	s.kept()
+}
+
 // TestSuccessorDoesNotGiveUpWhatItHasSeenRunning: the first listing shows a run, and the
 // next renewal comes late, as with many workers after a takeover.
 func TestSuccessorDoesNotGiveUpWhatItHasSeenRunning(t *testing.T) {
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -103,12 +103,27 @@
 	return s.accept(testQueue, number, age, []dotterjob.Step{step})
 }
 
-func (s *shard) accept(queue string, number int, age dotterclock.Millis, steps []dotterjob.Step) dotterjob.ID {
-	j := dotterjob.Job{
+// submitDeclared accepts a job of the step, which declares another run time than it has.
+func (s *shard) submitDeclared(number int, declared dotterclock.Millis, step dotterjob.Step) dotterjob.ID {
+	s.pool.Expect(s.job(testQueue, number, 0, []dotterjob.Step{step}))
+	step.Estimate = declared
+	return s.take(s.job(testQueue, number, 0, []dotterjob.Step{step}), 0)
+}
+
+func (s *shard) job(queue string, number int, age dotterclock.Millis, steps []dotterjob.Step) dotterjob.Job {
+	return dotterjob.Job{
 		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: queue, AcceptedAt: s.clock.Now() - age, Spec: fmt.Sprintf("spec %d", number), Steps: steps,
 	}
-	require.NoError(s.t, j.Check())
+}
+
+func (s *shard) accept(queue string, number int, age dotterclock.Millis, steps []dotterjob.Step) dotterjob.ID {
+	j := s.job(queue, number, age, steps)
 	s.pool.Expect(j)
+	return s.take(j, age)
+}
+
+func (s *shard) take(j dotterjob.Job, age dotterclock.Millis) dotterjob.ID {
+	require.NoError(s.t, j.Check())
 	s.accepted = append(s.accepted, j)
 	s.board.Accept(s.clock.Now(), age, j)
 	return j.ID
