Try: filling tasks that find no worker at full pace start at a reduced one

Paced tasks last for the rest of the cycle of the users beside them, which is longer than the wait for a worker whose users are few.

--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -226,12 +226,13 @@
 		if t.phase != waiting {
 			continue
 		}
-		w := r.best()
+		w, pace := r.best()
 		if w == nil {
 			p.board.waits(p.now, s, r.obstacles)
 			return false
 		}
 		p.bind(t, w)
+		t.paceWanted = pace
 		r.update()
 	}
 	return true
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -21,44 +21,49 @@
 	p.board.counters.Ranked++
 	r := &ranking{plan: p, step: s, reserved: s.Reserved()}
 	for _, w := range p.workers[s.occurrence.job.queue.Service] {
-		if score, ok := r.score(w); ok {
-			r.workers = append(r.workers, scoredWorker{worker: w, score: score})
+		if scored, ok := r.score(w); ok {
+			r.workers = append(r.workers, scored)
 		}
 	}
 	heap.Init(&r.workers)
 	return r
 }
 
-// score returns the worker's score for one more task, or false if it gets none.
-func (r *ranking) score(w *worker) (float64, bool) {
+// score returns the worker with its score for one more task, or false if it gets none.
+func (r *ranking) score(w *worker) (scoredWorker, bool) {
 	l := r.plan.load(w)
 	if o := r.plan.obstacle(l, r.step, r.reserved); o != noObstacle {
 		r.obstacles[o]++
-		return 0, false
+		return scoredWorker{}, false
 	}
-	score, ok := r.plan.board.score(r.plan.now, l, r.step)
-	if !ok {
-		r.obstacles[blockedLoad]++
+	b, now := r.plan.board, r.plan.now
+	if score, ok := b.score(now, l, r.step); ok {
+		return scoredWorker{worker: w, score: score, pace: 100}, true
+	}
+	if pace := b.bearablePace(now, l, r.step); pace > 0 {
+		return scoredWorker{worker: w, score: float64(pace)/100 - paceCost, pace: pace}, true
 	}
-	return score, ok
+	r.obstacles[blockedLoad]++
+	return scoredWorker{}, false
 }
 
-// best returns the worker with the highest score, or nil if none gets a task.
-func (r *ranking) best() *worker {
+// best returns the worker with the highest score, and the pace at which it gets a task;
+// it returns nil if none gets one.
+func (r *ranking) best() (*worker, int) {
 	if len(r.workers) == 0 {
-		return nil
+		return nil, 0
 	}
-	return r.workers[0].worker
+	return r.workers[0].worker, r.workers[0].pace
 }
 
 // update scores the best worker again after it got a task.
 func (r *ranking) update() {
-	score, ok := r.score(r.workers[0].worker)
+	scored, ok := r.score(r.workers[0].worker)
 	if !ok {
 		heap.Pop(&r.workers)
 		return
 	}
-	r.workers[0].score = score
+	r.workers[0] = scored
 	heap.Fix(&r.workers, 0)
 }
 
@@ -66,6 +71,7 @@
 type scoredWorker struct {
 	worker *worker
 	score  float64
+	pace   int // percent at which the task is to work there
 }
 
 // scored is a heap of workers, the one with the highest score first; of equal ones,
