--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -158,9 +158,6 @@
 		t.answeredAt = now
 	}
 	t.startedAt, t.progressAt = now, now
-	if t.paceWanted != t.pace {
-		b.setPace(t.worker, t, t.paceWanted)
-	}
 	t.job().begun = true
 	if t.job().outcome != "" {
 		b.stop(now, t, "the job is over")
--- a/internal/job/dotterboard/load.go
+++ b/internal/job/dotterboard/load.go
@@ -121,13 +121,8 @@
 // pressed returns the highest load that a serving task on the worker may well have
 // beside one more task of the step, and how doubtful that is.
 func (b *Board) pressed(now dotterclock.Millis, l *load, s *step) (highest, doubt float64) {
-	return b.pressedIf(now, l, s.Image, s.Size.MilliCores)
-}
-
-// pressedIf is pressed for a task of the image that uses so much processor time.
-func (b *Board) pressedIf(now dotterclock.Millis, l *load, image string, milliCores int64) (highest, doubt float64) {
-	share := unmeasuredUse * float64(milliCores) / float64(max(1, l.worker.Capacity.MilliCores))
-	for _, p := range b.pressesOf(now, l, image) {
+	share := unmeasuredUse * float64(s.Size.MilliCores) / float64(max(1, l.worker.Capacity.MilliCores))
+	for _, p := range b.pressesOf(now, l, s.Image) {
 		added := p.slope * share
 		highest = max(highest, p.load+added+math.Sqrt(p.swing+square(pressVariation*added)))
 		doubt = max(doubt, p.doubt*share)
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -35,12 +35,6 @@
 	// slowCost is what a worker's slowness above slowSlack, a logarithm, costs in its score.
 	slowCost  = 2.0
 	slowSlack = 0.4
-	// leastPace is the pace, in percent, from which a filling task that finds no worker at
-	// the full one starts at that pace.
-	leastPace = 25
-	// paceCost is what a reduced pace costs in the score: any worker that takes the task
-	// at the full one comes first.
-	paceCost = 5.0
 	// rackBonus is the score of standing on the rack of the data; above all others.
 	rackBonus = 10.0
 )
@@ -138,22 +132,6 @@
 	return score + float64(w.reserved.MilliCores)/capacity, true
 }
 
-// bearablePace returns the pace, in percent, at which a filling task of the step that
-// has waited for long may work on the worker; 0: at none.
-func (b *Board) bearablePace(now dotterclock.Millis, l *load, s *step) int {
-	if !s.Fills || now-s.readyAt < patienceSpan || l.unsettled {
-		return 0
-	}
-	pace := 100
-	for pace >= leastPace {
-		if highest, _ := b.pressedIf(now, l, s.Image, s.Size.MilliCores*int64(pace)/100); highest <= loadLoose {
-			return pace
-		}
-		pace /= 2
-	}
-	return 0
-}
-
 // loadLimit returns the predicted load of a serving task up to which its worker gets a
 // task of the step.
 func (b *Board) loadLimit(now dotterclock.Millis, s *step) float64 {
@@ -164,7 +142,7 @@
 // choose returns the best worker for a task of the step, or nil.
 func (p *plan) choose(s *step) *worker {
 	r := p.rank(s)
-	w, _ := r.best()
+	w := r.best()
 	if w == nil {
 		p.board.waits(p.now, s, r.obstacles)
 	}
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -226,13 +226,12 @@
 		if t.phase != waiting {
 			continue
 		}
-		w, pace := r.best()
+		w := r.best()
 		if w == nil {
 			p.board.waits(p.now, s, r.obstacles)
 			return false
 		}
 		p.bind(t, w)
-		t.paceWanted = pace
 		r.update()
 	}
 	return true
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -21,49 +21,44 @@
 	p.board.counters.Ranked++
 	r := &ranking{plan: p, step: s, reserved: s.Reserved()}
 	for _, w := range p.workers[s.occurrence.job.queue.Service] {
-		if scored, ok := r.score(w); ok {
-			r.workers = append(r.workers, scored)
+		if score, ok := r.score(w); ok {
+			r.workers = append(r.workers, scoredWorker{worker: w, score: score})
 		}
 	}
 	heap.Init(&r.workers)
 	return r
 }
 
-// score returns the worker with its score for one more task, or false if it gets none.
-func (r *ranking) score(w *worker) (scoredWorker, bool) {
+// score returns the worker's score for one more task, or false if it gets none.
+func (r *ranking) score(w *worker) (float64, bool) {
 	l := r.plan.load(w)
 	if o := r.plan.obstacle(l, r.step, r.reserved); o != noObstacle {
 		r.obstacles[o]++
-		return scoredWorker{}, false
+		return 0, false
 	}
-	b, now := r.plan.board, r.plan.now
-	if score, ok := b.score(now, l, r.step); ok {
-		return scoredWorker{worker: w, score: score, pace: 100}, true
-	}
-	if pace := b.bearablePace(now, l, r.step); pace > 0 {
-		return scoredWorker{worker: w, score: float64(pace)/100 - paceCost, pace: pace}, true
+	score, ok := r.plan.board.score(r.plan.now, l, r.step)
+	if !ok {
+		r.obstacles[blockedLoad]++
 	}
-	r.obstacles[blockedLoad]++
-	return scoredWorker{}, false
+	return score, ok
 }
 
-// best returns the worker with the highest score, and the pace at which it gets a task;
-// it returns nil if none gets one.
-func (r *ranking) best() (*worker, int) {
+// best returns the worker with the highest score, or nil if none gets a task.
+func (r *ranking) best() *worker {
 	if len(r.workers) == 0 {
-		return nil, 0
+		return nil
 	}
-	return r.workers[0].worker, r.workers[0].pace
+	return r.workers[0].worker
 }
 
 // update scores the best worker again after it got a task.
 func (r *ranking) update() {
-	scored, ok := r.score(r.workers[0].worker)
+	score, ok := r.score(r.workers[0].worker)
 	if !ok {
 		heap.Pop(&r.workers)
 		return
 	}
-	r.workers[0] = scored
+	r.workers[0].score = score
 	heap.Fix(&r.workers, 0)
 }
 
@@ -71,7 +66,6 @@
 type scoredWorker struct {
 	worker *worker
 	score  float64
-	pace   int // percent at which the task is to work there
 }
 
 // scored is a heap of workers, the one with the highest score first; of equal ones,
