--- a/internal/job/dotterreplica/replica.go
+++ b/internal/job/dotterreplica/replica.go
@@ -51,6 +51,14 @@
 	return dotterclock.Millis(r.fresh.Load())
 }
 
+// age returns how long ago the replica was known to be complete; -1: it never was.
+func (r *Replica) age() dotterclock.Millis {
+	if r.FreshAt() == 0 {
+		return -1
+	}
+	return r.clock.Now() - r.FreshAt()
+}
+
 // RunFrom is Run for a sink that has all keys as they were at the revision.
 func (r *Replica) RunFrom(ctx context.Context, revision dotterkey.Revision) error {
 	r.follow(ctx, revision)
@@ -120,7 +128,7 @@
 	}
 	if !r.lost {
 		r.lost = true
-		r.logger.Warn("store does not answer", zap.Int64("FreshMsAgo", int64(r.clock.Now()-r.FreshAt())), zap.Error(err))
+		r.logger.Warn("store does not answer", zap.Int64("FreshMsAgo", int64(r.age())), zap.Error(err))
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/job/dotterreplica/replica_test.go
+++ b/internal/job/dotterreplica/replica_test.go
@@ -120,3 +120,14 @@
 		})
 	}
 }
+
+// TestAgeOfWhatWasNeverThere: a replica that never heard from the store says so, instead
+// of an age since some distant instant.
+func TestAgeOfWhatWasNeverThere(t *testing.T) {
+	clock := dotterclock.NewManual(1_000_000)
+	r := New(dottermemory.New(clock), clock, zap.NewNop(), "K/", 1000, &mirror{})
+	assert.Equal(t, dotterclock.Millis(-1), r.age())
+	r.answered(clock.Now())
+	clock.Advance(300)
+	assert.Equal(t, dotterclock.Millis(300), r.age())
+}
--- a/internal/server/dotterscheduler/term.go
+++ b/internal/server/dotterscheduler/term.go
@@ -112,8 +112,12 @@
 	if err == nil {
 		err = b.RestoreLearned(t.clock.Now(), learned.Value)
 	}
-	if err != nil && !errors.Is(err, dotterelusher.ErrStoreNotFound) {
+	switch {
+	case errors.Is(err, dotterelusher.ErrStoreNotFound): // this is the first owner
+	case err != nil:
 		t.logger.Warn("effects of images are learned anew", zap.Error(err))
+	default:
+		t.logger.Info("effects of images taken over", zap.Int("Bytes", len(learned.Value)), zap.Int64("Version", int64(learned.Version)))
 	}
 }
 
