--- a/internal/job/dotterboard/plan_test.go
+++ b/internal/job/dotterboard/plan_test.go
@@ -10,6 +10,22 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 )
 
+// wholeWorkers returns a step of tasks that take a worker each, for span.
+func wholeWorkers(count int, span dotterclock.Millis) dotterjob.Step {
+	step := tasks(count, span)
+	step.Size = dotterroom.Room{MilliCores: 64_000, MemoryMB: 240_000}
+	return step
+}
+
+// newFullShard returns a shard on whose workers a job has just taken all room for span.
+func newFullShard(t *testing.T, workers int, span dotterclock.Millis) (*shard, dotterjob.ID) {
+	s := newShard(t, workers)
+	s.run(200)
+	id := s.submit(1, wholeWorkers(workers, span))
+	s.run(100)
+	return s, id
+}
+
 // TestQueueDoesNotGrowTheCostOfPlans is the load of a burst and of a takeover: hundreds
 // of steps wait while the pool is full. Ranking the workers for each of them in each
 // plan leaves an owner no time for orders, and the queue grows on.
@@ -24,12 +40,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newShard(t, 4)
-			s.run(200)
-			whole := tasks(4, 60_000)
-			whole.Size = dotterroom.Room{MilliCores: 64_000, MemoryMB: 240_000}
-			s.submit(1, whole)
-			s.run(300)
+			s, _ := newFullShard(t, 4, 60_000)
 			for i := range 300 {
 				s.submitTo(lowQueue, 100+i, tc.step)
 			}
@@ -46,14 +57,9 @@
 // TestFreedRoomIsFound: a step that found no worker gets the room that an end frees
 // within its retry span, in the order of ranks.
 func TestFreedRoomIsFound(t *testing.T) {
-	s := newShard(t, 1)
-	s.run(200)
-	whole := tasks(1, 1000)
-	whole.Size = dotterroom.Room{MilliCores: 64_000, MemoryMB: 240_000}
-	first := s.submit(1, whole)
-	s.run(100)
-	low := s.submitTo(lowQueue, 2, whole)
-	high := s.submit(3, whole)
+	s, first := newFullShard(t, 1, 1000)
+	low := s.submitTo(lowQueue, 2, wholeWorkers(1, 1000))
+	high := s.submit(3, wholeWorkers(1, 1000))
 	s.until(3000, s.is(first, dotterjob.Completed))
 	s.until(2*retrySpan+100, s.is(high, dotterjob.Running))
 	assert.Equal(t, dotterjob.Queued, s.state(low))
@@ -84,12 +90,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newShard(t, 1)
-			s.run(200)
-			whole := tasks(1, 1000)
-			whole.Size = dotterroom.Room{MilliCores: 64_000, MemoryMB: 240_000}
-			s.submit(1, whole)
-			s.run(100)
+			s, _ := newFullShard(t, 1, 1000)
 			waiting := []dotterjob.ID{s.submitAged(2, tc.firstAge, tc.first), s.submitAged(3, tc.secondAge, tc.second)}
 			s.until(3000, func() bool {
 				return s.state(waiting[0]) != dotterjob.Queued || s.state(waiting[1]) != dotterjob.Queued
