Let no job starve on a mostly idle pool for the harm that its tasks may do

Change: where a service's processor time is reserved to less than 0.6, a job that has had nothing at work for 1.5 s gets one task on the worker where it is predicted to harm least. The control moves it again if it does harm, and it keeps its checkpoint.

Ruled out: the room itself (gaps are there), blame of workers (`Trust` blocks one), the order of steps (each of them waits, not only the last).

TestSuccessorKnowsWhatImagesDo now reserves most of the pool: on an idle one the jobs that it makes wait may not wait any more.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -239,6 +239,7 @@
 	t.progress, t.used, t.tail, t.overSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailAt, t.bornAt, t.timed, t.fresh = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
+	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
 	w.load = nil
@@ -256,6 +257,7 @@
 	t.worker = nil
 	t.phase = waiting
 	t.step.waiting++
+	t.job().runs--
 	b.touch(t.job())
 }
 
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -22,8 +22,10 @@
 	length      dotterclock.Millis // declared, of the longest chain of steps
 	outcome     dotterjob.State    // final state decided; empty before
 	outcomeAt   dotterclock.Millis
-	shown       dotterjob.State // final state that the store has; empty before
-	begun       bool            // a task has started
+	shown       dotterjob.State    // final state that the store has; empty before
+	begun       bool               // a task has started
+	runs        int                // tasks that are bound
+	idleSince   dotterclock.Millis // since when a task\'s turn has come and none is bound; 0: one is
 	dirty       bool
 	starts      []*task // bound since the last batch
 	ends        []*end  // taken in since the last batch
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -65,7 +65,7 @@
 	p.unblock()
 	next := now + replanSpan
 	for _, c := range candidates {
-		if p.isBlocked(c.step) {
+		if p.isBlocked(c.step) && !p.isStarving(c.step) {
 			next = min(next, now+blockedSpan(c.step))
 		} else if !p.place(c.step) {
 			key := keyOf(c.step)
@@ -161,6 +161,9 @@
 func (p *plan) candidates() []candidate {
 	var cs []candidate
 	for _, j := range p.board.open {
+		if j.runs > 0 {
+			j.idleSince = 0
+		}
 		for _, o := range j.occurrences {
 			if o.open == 0 {
 				continue
@@ -170,6 +173,9 @@
 					if s.readyAt == 0 {
 						s.readyAt = p.now
 					}
+					if j.runs == 0 && j.idleSince == 0 {
+						j.idleSince = p.now
+					}
 					objective := o.objective(p.wall, p.now)
 					cs = append(cs, candidate{step: s, objective: objective, prospect: p.prospect(s, objective)})
 				}
@@ -232,11 +238,38 @@
 			return false
 		}
 		p.bind(t, w)
+		if r.starving {
+			return false // one task is enough to keep the job going
+		}
 		r.update()
 	}
 	return true
 }
 
+const (
+	// starveSpan is how long a job may have nothing at work on a pool that is mostly
+	// idle, whatever it would do to serving tasks: half of the time after which the
+	// users take it for lost.
+	starveSpan = 1500 * dotterclock.Millisecond
+	// idlePart is the part of a service's processor time up to whose reservation its pool
+	// counts as mostly idle.
+	idlePart = 0.6
+)
+
+// isStarving reports whether the step's job has had nothing at work for too long
+// beside room that nobody uses.
+func (p *plan) isStarving(s *step) bool {
+	j := s.occurrence.job
+	if !s.Fills || j.runs > 0 || j.idleSince == 0 || p.now-j.idleSince < starveSpan {
+		return false
+	}
+	reserved, capacity := int64(0), int64(0)
+	for _, w := range p.workers[j.queue.Service] {
+		reserved, capacity = reserved+w.reserved.MilliCores, capacity+w.Capacity.MilliCores
+	}
+	return float64(reserved) < idlePart*float64(capacity)
+}
+
 func (p *plan) bind(t *task, w *worker) {
 	p.board.bind(t, w)
 	w.conduct.chosen(p.now)
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -14,6 +14,7 @@
 	reserved  dotterroom.Room
 	workers   scored
 	obstacles [obstacleKinds]int // why the other workers get none
+	starving  bool               // no worker bears a task, and the job gets one all the same
 }
 
 // rank scores all workers for a task of the step.
@@ -25,10 +26,25 @@
 			r.workers = append(r.workers, scoredWorker{worker: w, score: score})
 		}
 	}
+	if len(r.workers) == 0 && p.isStarving(s) {
+		r.starve()
+	}
 	heap.Init(&r.workers)
 	return r
 }
 
+// starve ranks the workers that don't bear a task, by the harm that it is predicted to do.
+func (r *ranking) starve() {
+	r.starving = true
+	for _, w := range r.plan.workers[r.step.occurrence.job.queue.Service] {
+		l := r.plan.load(w)
+		if r.plan.obstacle(l, r.step, r.reserved) == noObstacle {
+			highest, _ := r.plan.board.pressed(r.plan.now, l, r.step)
+			r.workers = append(r.workers, scoredWorker{worker: w, score: -highest})
+		}
+	}
+}
+
 // score returns the worker's score for one more task, or false if it gets none.
 func (r *ranking) score(w *worker) (float64, bool) {
 	l := r.plan.load(w)
--- a/internal/job/dotterboard/trend_test.go
+++ b/internal/job/dotterboard/trend_test.go
@@ -108,6 +108,8 @@
 		factors[fmt.Sprintf("heavy%d", i)] = 4
 	}
 	d := newDisturbed(t, workers, 0.5, factors)
+	d.submit(999, servingOf("serving", 3*workers)) // on a mostly idle pool no job may wait for long
+	d.pass(300)
 	work := func(from int) {
 		d.harmed, d.served = 0, 0
 		for i := range images {
