--- a/internal/job/dotterboard/control.go
+++ b/internal/job/dotterboard/control.go
@@ -212,23 +212,32 @@
 	if now-w.movedAt < settleDelay {
 		return
 	}
+	var throttled []*task
 	for _, t := range w.runs {
-		if t.phase != running || t.stopping || t.pace == 100 || t.pace != t.paceWanted {
+		if t.phase == running && !t.stopping && t.pace != 100 && t.pace == t.paceWanted && b.fitsAtFullPace(now, w, t) {
+			throttled = append(throttled, t)
+		}
+	}
+	if len(throttled) == 0 {
+		return
+	}
+	w.movedAt = now
+	b.setPace(w, slices.MinFunc(throttled, func(a, b *task) int { return cmp.Compare(a.id().String(), b.id().String()) }), 100)
+}
+
+// fitsAtFullPace reports whether the predicted load of every serving task on the worker
+// stays within loadTarget if the throttled task runs at full pace.
+func (b *Board) fitsAtFullPace(now dotterclock.Millis, w *worker, t *task) bool {
+	for _, victim := range w.runs {
+		if !victim.step.Serves() {
 			continue
 		}
-		for _, victim := range w.runs {
-			if !victim.step.Serves() {
-				continue
-			}
-			added := b.learned.slope(now, victim, t.step.Image).Mean * unmeasuredUse * float64(t.step.Size.MilliCores) / float64(max(1, w.Capacity.MilliCores))
-			if victim.expectedLoad(now)+added > loadTarget {
-				return
-			}
+		added := b.learned.slope(now, victim, t.step.Image).Mean * unmeasuredUse * float64(t.step.Size.MilliCores) / float64(max(1, w.Capacity.MilliCores))
+		if victim.expectedLoad(now)+added > loadTarget {
+			return false
 		}
-		w.movedAt = now
-		b.setPace(w, t, 100)
-		return
 	}
+	return true
 }
 
 func (b *Board) setPace(w *worker, t *task, percent int) {
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -86,6 +86,7 @@
 			b.handleEnd(now, w, e, e.Number < expired)
 		}
 	}
+	w.releaseIgnored(expired)
 	w.advanceAck()
 	listed := map[dotterrun.Ref]bool{}
 	for _, r := range l.Running {
@@ -222,7 +223,9 @@
 	j.begun = true
 	if e.Ending == dotterrun.Done && t.isBound() && t.ref() != e.Ref && !t.step.LongRunning && !expired {
 		// The run was taken for lost and the task was started again, but nothing shows
-		// that the lease had expired first. The end has no effect and is not acknowledged.
+		// that the lease had expired first. The end has no effect. It is not acknowledged
+		// before the lease has expired, because an acknowledged end counts as the task's.
+		pending.ignored = true
 		b.logger.Warn("ignoring the end of a run that was taken for lost", b.runFields(t, zap.Int("EndedRun", e.Ref.Run), zap.String("EndedOn", w.ID))...)
 		return
 	}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -156,6 +156,7 @@
 	t.phase, t.worker = inherited, w
 	t.pace, t.paceWanted = 100, 100
 	t.step.waiting--
+	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
 }
--- /dev/null
+++ b/internal/job/dotterboard/recovery_test.go
@@ -0,0 +1,79 @@
+package dotterboard
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+)
+
+// TestIgnoredEndIsAcknowledgedAfterLeaseExpiry guards against ends that a worker lists
+// until it restarts: an end that has no effect holds back the acknowledgement of all
+// later ones.
+func TestIgnoredEndIsAcknowledgedAfterLeaseExpiry(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	id := s.submit(1, tasks(1, 2000))
+	s.until(1000, s.stateIs(id, dotterjob.Running))
+	s.pool.SetUnreachable("w00", true) // the run is done there before the lease expires
+	s.run(7500)
+	s.pool.Add(testWorker(1))
+	s.until(3000, func() bool { return s.pool.Starts(id) == 2 })
+	s.pool.SetUnreachable("w00", false)
+	s.run(500)
+	w := s.board.workers["w00"]
+	require.Len(t, w.unacknowledged, 1, "the end of the first run must be ignored")
+	require.True(t, w.unacknowledged[0].ignored)
+	s.until(5000, s.stateIs(id, dotterjob.Completed))
+
+	onBoth := tasks(2, 60_000)
+	onBoth.PerWorker = 1
+	s.submit(2, onBoth)
+	s.until(1000, func() bool { return len(s.workersOf("0000000000000002")) == 2 })
+	s.pool.SetUnreachable("w00", true)
+	s.run(8000) // the lease expires while the second run is active
+	s.pool.SetUnreachable("w00", false)
+	s.run(1000)
+	assert.Empty(t, w.unacknowledged, "the listed expiry shows that the ignored end is no longer the task's")
+	s.requireNoViolations()
+}
+
+// TestPaceOfAnyFittingTaskIsRestored guards against giving up at the first throttled task
+// that does not fit, in whatever order a map yields the tasks.
+func TestPaceOfAnyFittingTaskIsRestored(t *testing.T) {
+	for range 20 { // the order of a map differs from run to run
+		s := newShard(t, 1)
+		s.run(200)
+		s.submit(1, servingStep("serving", 1))
+		large, small := fillingStep("large", 1, 60_000, false), fillingStep("small", 1, 60_000, false)
+		large.Size.MilliCores, small.Size.MilliCores = 40_000, 1000
+		s.submitTo(lowQueue, 2, large, small)
+		s.until(3000, func() bool { return len(s.pool.Running()["w00"]) == 3 })
+		for _, r := range s.pool.Running()["w00"] {
+			s.pool.SetTail("w00", r.Task, testTarget/2) // a load of 0.6
+		}
+		s.run(800)
+		w := s.board.workers["w00"]
+		now := s.clock.Now()
+		var big, little, serving *task
+		for _, r := range w.runs {
+			switch r.step.Image {
+			case "large":
+				big = r
+			case "small":
+				little = r
+			default:
+				serving = r
+			}
+		}
+		big.pace, big.paceWanted, little.pace, little.paceWanted = 10, 10, 10, 10
+		w.movedAt, w.orders = 0, nil
+		require.False(t, s.board.fitsAtFullPace(now, w, big), "load %f", serving.expectedLoad(now))
+		require.True(t, s.board.fitsAtFullPace(now, w, little), "load %f", serving.expectedLoad(now))
+		s.board.restorePace(now, w)
+		assert.Equal(t, 10, big.paceWanted)
+		assert.Equal(t, 100, little.paceWanted)
+	}
+}
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -5,7 +5,6 @@
 // Settings holds the durations and factors that the platform guarantees or requires.
 type Settings struct {
 	LeaseDuration     dotterclock.Millis // longest lease of the runs on a worker
-	StopTimeout       dotterclock.Millis // longest time until a stop order takes effect
 	MaxOverTarget     dotterclock.Millis // longest time that a serving task's tail latency may exceed its target
 	RetentionDuration dotterclock.Millis // how long a job stays visible after its final state
 	DirectoryGrace    dotterclock.Millis // how long a live worker may be missing from the directory
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -26,7 +26,7 @@
 )
 
 var testSettings = Settings{
-	LeaseDuration: testLease, StopTimeout: 400, MaxOverTarget: 4000, RetentionDuration: 120_000, DirectoryGrace: 2500, RemoteSlowdown: 3,
+	LeaseDuration: testLease, MaxOverTarget: 4000, RetentionDuration: 120_000, DirectoryGrace: 2500, RemoteSlowdown: 3,
 }
 
 // shard is a board with its stored state and a pool of workers, on a clock that the test
@@ -153,8 +153,23 @@
 	require.Fail(s.t, "condition not met in time")
 }
 
+// requireConsistent requires that the counts of each job agree with its tasks.
+func (s *shard) requireConsistent() {
+	s.t.Helper()
+	for id, j := range s.board.jobs {
+		bound := 0
+		j.forEachTask(func(t *task) {
+			if t.isBound() {
+				bound++
+			}
+		})
+		require.Equal(s.t, bound, j.runs, "count of bound tasks of job %s", id)
+	}
+}
+
 // tick performs each of the owner's periodic actions once.
 func (s *shard) tick() {
+	defer s.requireConsistent()
 	now := s.clock.Now()
 	s.board.UpdateDirectory(now, s.pool.Listed())
 	for _, w := range s.board.Sessions() {
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -39,6 +39,7 @@
 	workerStartedAt dotterclock.Millis // StartedAt of the worker incarnation that reported it
 	number          int64
 	stored          bool
+	ignored         bool // has no effect, and may be acknowledged only if the lease expired after it
 }
 
 func newWorker(w dotterworker.Worker) *worker {
@@ -139,6 +140,16 @@
 	}
 }
 
+// releaseIgnored permits the acknowledgement of ignored ends with numbers below expired,
+// the number of an end by which the worker's lease had certainly expired.
+func (w *worker) releaseIgnored(expired int64) {
+	for _, e := range w.unacknowledged {
+		if e.ignored && e.number < expired {
+			e.stored = true
+		}
+	}
+}
+
 // resetAfterRestart sets StartedAt and discards the state of the worker's previous incarnation.
 func (w *worker) resetAfterRestart(startedAt dotterclock.Millis) {
 	w.StartedAt = startedAt
--- a/internal/server/dotterscheduler/scheduler.go
+++ b/internal/server/dotterscheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -139,7 +140,7 @@
 // configure puts a new configuration in force on this host.
 func (s *Scheduler) configure(document dotterqueues.Document, outDomains map[string]bool) {
 	previous := s.configuration.Swap(&configuration{document: document, outDomains: outDomains})
-	if previous == nil || previous.document.Version != document.Version || len(previous.outDomains) != len(outDomains) {
+	if previous == nil || previous.document.Version != document.Version || !maps.Equal(previous.outDomains, outDomains) {
 		s.logger.Info("configuration in force", zap.Int64("Version", document.Version), zap.Any("OutDomains", outDomains))
 	}
 	if b := s.board.Load(); b != nil {
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
@@ -106,7 +107,7 @@
 func (c *cluster) start(host string) {
 	settings := Settings{
 		Host: host, FailureDomain: "a", LinkAddress: "127.0.0.1:0",
-		Board: dotterboard.Settings{LeaseDuration: 6000, StopTimeout: 400, MaxOverTarget: 4000, RetentionDuration: 120_000, DirectoryGrace: 2500},
+		Board: dotterboard.Settings{LeaseDuration: 6000, MaxOverTarget: 4000, RetentionDuration: 120_000, DirectoryGrace: 2500},
 	}
 	s, err := New(settings, Platform{
 		Store: c.store, Runs: c.pool, OperatorPrefix: "Operators/", DirectoryPrefix: "Workers/",
@@ -266,3 +267,15 @@
 	require.NoError(t, err)
 	assert.Zero(t, pending)
 }
+
+// TestChangedOutDomainsAreLogged guards against a change that leaves the number of
+// domains as it was.
+func TestChangedOutDomainsAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	s := &Scheduler{logger: zap.New(core)}
+	document := dotterqueues.NewDocument(1, nil, nil, dotterqueues.Limits{})
+	for _, out := range []map[string]bool{{}, {"a": true}, {"b": true}, {"b": true}, {}} {
+		s.configure(document, out)
+	}
+	assert.Equal(t, 4, logs.FilterMessage("configuration in force").Len())
+}
