--- a/internal/job/dotterboard/batch.go
+++ b/internal/job/dotterboard/batch.go
@@ -6,14 +6,21 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 )
 
-// Batch is a set of changes to the shard's stored state.
+// Batch is a set of changes to the shard's stored state, to be stored together.
 type Batch struct {
-	Records map[dotterjob.ID][]byte // progress records of jobs, JSON
-	Expired []dotterjob.ID          // jobs whose keys are deleted
+	Records   map[dotterjob.ID][]byte // progress records of jobs, JSON
+	Jobs      []dotterjob.Job         // jobs to store under this shard
+	Transfers []*Transfer             // tasks handed over to other shards
+	Absorbed  []string                // keys of transfers to this shard that are deleted
+	Dropped   []dotterjob.ID          // jobs whose keys under this shard are deleted
+	Expired   []dotterjob.ID          // jobs of which all keys are deleted
+	Cancelled []dotterjob.ID          // jobs to cancel in the shards that have tasks of them
 
-	starts []*bindingStart
-	ends   []*end
-	finals []*job
+	entries int // number of keys that are written or deleted
+	starts  []*bindingStart
+	ends    []*end
+	finals  []*job
+	left    []*job
 }
 
 // bindingStart is a binding whose start order is issued once the batch is stored.
@@ -22,17 +29,32 @@
 	run  int
 }
 
+// Numbers of keys that a job has in the store.
+const (
+	shardKeys   = 2 // under each shard that has tasks of it: the job and its progress
+	expiredKeys = 4 // in all: in addition its home and its cancellation
+	// maxIncoming bounds the transfers of one job that a batch applies.
+	maxIncoming = 8
+)
+
 // Empty reports whether there is nothing to write.
 func (batch *Batch) Empty() bool {
-	return len(batch.Records) == 0 && len(batch.Expired) == 0
+	return batch.entries == 0
 }
 
-// Urgent reports whether pending changes hold back a start order or an outcome.
+// urgent reports whether pending changes of the job hold back a start order, an outcome
+// or tasks handed over.
+func (j *job) urgent() bool {
+	return len(j.starts) > 0 || (j.outcome != "" && j.storedOutcome == "") || len(j.outgoing) > 0
+}
+
+// Urgent reports whether pending changes hold back a start order, an outcome or tasks
+// handed over.
 func (b *Board) Urgent() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, j := range b.dirty {
-		if len(j.starts) > 0 || (j.outcome != "" && j.storedOutcome == "") {
+		if j.urgent() {
 			return true
 		}
 	}
@@ -40,7 +62,7 @@
 }
 
 // Batch removes and returns pending changes that need at most limit store keys, urgent
-// ones first.
+// ones first. The limit must be at least what one job can need.
 func (b *Board) Batch(limit int) (*Batch, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -49,33 +71,73 @@
 	for _, urgent := range []bool{true, false} {
 		rest = nil
 		for _, j := range b.dirty {
-			isUrgent := len(j.starts) > 0 || (j.outcome != "" && j.storedOutcome == "")
-			if len(batch.Records) >= limit || isUrgent != urgent {
+			if j.urgent() != urgent || batch.entries+j.entries() > limit {
 				rest = append(rest, j)
 				continue
 			}
 			if err := batch.add(j); err != nil {
 				return nil, err
 			}
+			if j.dirty {
+				rest = append(rest, j)
+			}
 		}
 		b.dirty = rest
 	}
-	for len(b.expired) > 0 && len(batch.Records)+expiredKeys*(len(batch.Expired)+1) <= limit {
-		batch.Expired = append(batch.Expired, b.expired[0])
-		b.expired = b.expired[1:]
+	for len(b.dropped) > 0 && batch.entries+shardKeys <= limit {
+		batch.Dropped, b.dropped = append(batch.Dropped, b.dropped[0]), b.dropped[1:]
+		batch.entries += shardKeys
+	}
+	for len(b.expired) > 0 && batch.entries+expiredKeys <= limit {
+		batch.Expired, b.expired = append(batch.Expired, b.expired[0]), b.expired[1:]
+		batch.entries += expiredKeys
 	}
 	return batch, nil
 }
 
-// expiredKeys is the number of keys that are stored for each job.
-const expiredKeys = 3
+// entries returns the number of keys that the job's pending changes need, at most.
+func (j *job) entries() int {
+	n := 1 + min(maxIncoming, len(j.incoming)) + len(j.outgoing)
+	if j.leaving || !j.stored {
+		n++
+	}
+	if j.cancelsElsewhere() {
+		n++
+	}
+	for _, t := range j.outgoing {
+		if t.Home {
+			n++
+		}
+	}
+	return n
+}
 
+// cancelsElsewhere reports whether the job has failed and has tasks in other shards, which
+// have to stop.
+func (j *job) cancelsElsewhere() bool {
+	return j.outcome == dotterjob.Failed && j.storedOutcome == "" && j.away > 0
+}
+
+// add moves the job's pending changes to the batch.
 func (batch *Batch) add(j *job) error {
-	record, err := json.Marshal(newRecord(j))
-	if err != nil {
-		return err
+	batch.entries += j.entries()
+	if j.leaving {
+		batch.Dropped = append(batch.Dropped, j.ID)
+		batch.left = append(batch.left, j)
+	} else {
+		record, err := json.Marshal(newRecord(j))
+		if err != nil {
+			return err
+		}
+		batch.Records[j.ID] = record
+		if !j.stored {
+			batch.Jobs = append(batch.Jobs, j.Job)
+			j.stored = true
+		}
 	}
-	batch.Records[j.ID] = record
+	n := min(maxIncoming, len(j.incoming))
+	batch.Absorbed = append(batch.Absorbed, j.incoming[:n]...)
+	batch.Transfers = append(batch.Transfers, j.outgoing...)
 	for _, t := range j.starts {
 		batch.starts = append(batch.starts, &bindingStart{task: t, run: t.run})
 	}
@@ -83,12 +145,17 @@
 	if j.outcome != "" && j.storedOutcome == "" {
 		batch.finals = append(batch.finals, j)
 	}
-	j.dirty, j.starts, j.ends = false, nil, nil
+	if j.cancelsElsewhere() {
+		batch.Cancelled = append(batch.Cancelled, j.ID)
+	}
+	j.incoming, j.outgoing, j.starts, j.ends = j.incoming[n:], nil, nil, nil
+	j.dirty = len(j.incoming) > 0
 	return nil
 }
 
 // HandleCommitted records that the batch is stored: it issues the start orders of the
-// batch, lets its ends be acknowledged and makes its outcomes visible.
+// batch, lets its ends be acknowledged, makes its outcomes visible and forgets the jobs
+// that were handed over.
 func (b *Board) HandleCommitted(batch *Batch) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -107,5 +174,10 @@
 	for _, j := range batch.finals {
 		j.storedOutcome = j.outcome
 	}
+	for _, j := range batch.left {
+		if b.jobs[j.ID] == j { // otherwise it has come back already
+			delete(b.jobs, j.ID)
+		}
+	}
 	b.notify()
 }
--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -39,6 +39,10 @@
 	blocked     map[blockedKey][]blockedSize // sizes for which no worker was found
 	waitLogAt   dotterclock.Millis           // when a waiting step was last logged
 	expired     []dotterjob.ID               // jobs whose keys can be deleted
+	dropped     []dotterjob.ID               // visiting jobs whose keys in this shard can be deleted
+	cancelled   map[dotterjob.ID]bool        // jobs with a stored cancellation, in any shard
+	absorbed    map[string]bool              // keys of transfers that were applied
+	peers       []*peer                      // other shards
 }
 
 // New returns an empty board for the owner with the given epoch. The previous owner may
@@ -47,7 +51,7 @@
 	return &Board{
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
-		blocked: map[blockedKey][]blockedSize{},
+		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]bool{},
 	}
 }
 
@@ -90,6 +94,13 @@
 	if _, known := b.jobs[accepted.ID]; known {
 		return
 	}
+	b.addJob(now, age, accepted).stored = true
+	b.applyCancellation(now, accepted.ID)
+	b.notify()
+}
+
+// addJob adds a job of which nothing has started.
+func (b *Board) addJob(now, age dotterclock.Millis, accepted dotterjob.Job) *job {
 	queue, ok := b.document.Queue(accepted.Queue)
 	if !ok {
 		b.logger.Warn("queue of the job is not configured", zap.String("Job", string(accepted.ID)),
@@ -98,24 +109,38 @@
 	j := newJob(accepted, queue, now-max(0, age))
 	b.jobs[j.ID] = j
 	b.open = append(b.open, j)
-	b.notify()
+	return j
 }
 
-// Cancel applies a stored cancellation.
+// Cancel applies a stored cancellation, which may be of a job that another shard has or
+// will hand over to this one.
 func (b *Board) Cancel(now dotterclock.Millis, id dotterjob.ID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if j, ok := b.jobs[id]; ok && j.outcome == "" {
+	b.cancelled[id] = true
+	b.applyCancellation(now, id)
+}
+
+// ForgetCancellation records that a cancellation was deleted from the store, which its
+// job's home does when nobody asks for the job any more.
+func (b *Board) ForgetCancellation(id dotterjob.ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.cancelled, id)
+}
+
+func (b *Board) applyCancellation(now dotterclock.Millis, id dotterjob.ID) {
+	if j, ok := b.jobs[id]; ok && b.cancelled[id] && j.outcome == "" && !j.leaving {
 		b.finish(now, j, dotterjob.Cancelled, "cancelled by its caller")
 	}
 }
 
-// State returns the visible state of a job, or false if the board does not have the job.
+// State returns the visible state of a job, or false if the board is not the home of the job.
 func (b *Board) State(id dotterjob.ID) (dotterjob.State, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j, ok := b.jobs[id]
-	if !ok {
+	if !ok || j.visiting {
 		return "", false
 	}
 	return j.state(), true
@@ -125,9 +150,14 @@
 func (b *Board) Pending() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.pending()
+}
+
+// pending returns, by queue, the number of open jobs of which no task has started.
+func (b *Board) pending() map[string]int {
 	pending := map[string]int{}
 	for _, j := range b.open {
-		if !j.begun && j.outcome == "" {
+		if !j.begun && j.outcome == "" && !j.visiting {
 			pending[j.Queue]++
 		}
 	}
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -17,6 +17,9 @@
 	ResolvedByStop int64 // unanswered starts ruled out by an answered stop
 	Lost           int64 // runs that ended without a reported end
 	Rankings       int64 // rankings of all workers for a step
+	Excluded       int64 // jobs whose stored progress cannot be read
+	HandedOver     int64 // tasks handed over to other shards
+	Absorbed       int64 // tasks taken from other shards
 }
 
 func newCounters() Counters {
@@ -83,5 +86,5 @@
 func (b *Board) Dirty() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.dirty) > 0 || len(b.expired) > 0
+	return len(b.dirty) > 0 || len(b.expired) > 0 || len(b.dropped) > 0
 }
--- /dev/null
+++ b/internal/job/dotterboard/handover.go
@@ -0,0 +1,248 @@
+package dotterboard
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottervacancy"
+)
+
+const (
+	// jobHandoverDelay is how long a job of which nothing runs waits for room before it is
+	// handed over to a shard that has some. It is some times the age of what other owners
+	// have published.
+	jobHandoverDelay = 150 * dotterclock.Millisecond
+	// fillingHandoverDelay is the same for a job of filling tasks, which wait for unused
+	// processor time; that changes within seconds.
+	fillingHandoverDelay = 600 * dotterclock.Millisecond
+	// longRunningHandoverDelay is the same for the tasks of a long-running step. It leaves most
+	// of the seconds within which the users expect such a task to run again.
+	longRunningHandoverDelay = 800 * dotterclock.Millisecond
+	// maxHandoverDelay bounds the delays, which double with each handover of a job.
+	maxHandoverDelay = 3 * dotterclock.Second
+	// minFreeSlots is how many tasks of a size must fit into another shard before a
+	// long-running one is handed over: others may need the same room.
+	minFreeSlots = 2
+	// maxHandedOver bounds the tasks of one step that a plan hands over to one shard.
+	maxHandedOver = 8
+	// maxOutgoing bounds the transfers of one job that wait to be stored.
+	maxOutgoing = 4
+	// minUnusedDifference is how much larger the unused fraction of another shard's
+	// processor time must be before it gets a job of filling tasks.
+	minUnusedDifference = 0.1
+)
+
+// Peer is another shard and what its owner has published.
+type Peer struct {
+	Shard   string
+	Vacancy dottervacancy.Vacancy
+}
+
+// peer is a Peer whose vacancy is reduced by what was handed over since.
+type peer struct {
+	shard    string
+	services map[string]dottervacancy.Service
+}
+
+// SetPeers sets the shards to which tasks may be handed over: those whose owners are live
+// and whose workers may get tasks.
+func (b *Board) SetPeers(peers []Peer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers = nil
+	for _, p := range peers {
+		b.peers = append(b.peers, &peer{shard: p.Shard, services: maps.Clone(p.Vacancy.Services)})
+	}
+}
+
+// Vacancy returns what other hosts need to know of this shard; wall is the time of day.
+func (b *Board) Vacancy(now, wall dotterclock.Millis) dottervacancy.Vacancy {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	services := map[string]dottervacancy.Service{}
+	for _, w := range b.workersByID {
+		if w.Service == "" || !b.isOpen(now, w) {
+			continue
+		}
+		s := services[w.Service]
+		s.Capacity += w.Capacity.MilliCores
+		s.Reserved += w.reserved.MilliCores
+		s.Unused += max(0, b.loadOf(now, w).unusedCPU())
+		s.AddFree(w.free())
+		for _, label := range w.Labels {
+			if i, found := slices.BinarySearch(s.Labels, label); !found {
+				s.Labels = slices.Insert(s.Labels, i, label)
+			}
+		}
+		services[w.Service] = s
+	}
+	for _, j := range b.open {
+		s, ok := services[j.queue.Service]
+		if !ok {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, step := range o.steps {
+				switch {
+				case step.waiting == 0 || !step.ready(wall):
+				case step.Fills:
+					s.Filling += int64(step.waiting) * step.Size.MilliCores
+				default:
+					s.Waiting += int64(step.waiting) * step.Size.MilliCores
+				}
+			}
+		}
+		services[j.queue.Service] = s
+	}
+	return dottervacancy.Vacancy{Services: services, Pending: b.pending()}
+}
+
+// handOver hands tasks that found no worker over to shards that have room: whole jobs of
+// which nothing runs, and single tasks of long-running steps.
+func (p *plan) handOver(candidates []candidate) {
+	if len(p.board.peers) == 0 {
+		return
+	}
+	for _, c := range candidates {
+		s := c.step
+		j := s.occurrence.job
+		if s.waiting == 0 || j.leaving || j.outcome != "" || j.queue.Service == "" || len(j.outgoing) >= maxOutgoing {
+			continue
+		}
+		abandoned := !p.hasOpenWorker(j.queue.Service)
+		switch {
+		case j.runs == 0 && j.away == 0 && !j.visiting && !s.LongRunning:
+			p.handOverJob(s, abandoned)
+		case s.LongRunning:
+			p.handOverTasks(s, abandoned)
+		}
+	}
+}
+
+// fitsOnlyElsewhere hands the step's job over at once if only some of its waiting tasks fit
+// here and all of them in another shard; it reports whether it did. Once some of them run
+// here, the job cannot be handed over before they have ended.
+func (p *plan) fitsOnlyElsewhere(s *step, r *ranking) bool {
+	j := s.occurrence.job
+	if len(p.board.peers) == 0 || s.Fills || s.LongRunning || j.runs > 0 || j.away > 0 || j.visiting || j.moves > 0 {
+		return false
+	}
+	slots := int64(0)
+	for _, w := range r.workers {
+		slots += w.worker.free().MilliCores / max(1, s.Size.MilliCores)
+	}
+	if slots == 0 || slots >= int64(s.waiting) {
+		return false
+	}
+	to := p.peerFor(s, s.waiting, false)
+	if to == nil {
+		return false
+	}
+	to.reserve(j.queue.Service, s, s.waiting)
+	p.board.handOverJob(j, to.shard)
+	return true
+}
+
+// hasOpenWorker reports whether any worker of the service accepts starts.
+func (p *plan) hasOpenWorker(service string) bool {
+	return slices.ContainsFunc(p.workers[service], func(w *worker) bool { return p.load(w).open })
+}
+
+// handOverJob hands the step's job over to a shard that can run all the tasks of the step
+// that wait. If no worker here accepts starts, any shard will do.
+func (p *plan) handOverJob(s *step, abandoned bool) {
+	j := s.occurrence.job
+	delay := jobHandoverDelay
+	if s.Fills {
+		delay = fillingHandoverDelay
+	}
+	if j.idleSince == 0 || !abandoned && p.now-j.idleSince < min(maxHandoverDelay, delay<<min(j.moves, 8)) {
+		return
+	}
+	to := p.peerFor(s, s.waiting, abandoned)
+	if to == nil {
+		return
+	}
+	to.reserve(j.queue.Service, s, s.waiting)
+	p.board.handOverJob(j, to.shard)
+}
+
+// handOverTasks hands waiting tasks of a long-running step over, as many as fit into half
+// of another shard's free room.
+func (p *plan) handOverTasks(s *step, abandoned bool) {
+	if !abandoned && p.now-s.waitingSince < longRunningHandoverDelay || s.Gang {
+		return
+	}
+	to := p.peerFor(s, minFreeSlots, abandoned)
+	if to == nil {
+		return
+	}
+	service := s.occurrence.job.queue.Service
+	count := min(maxHandedOver, s.waiting, max(1, to.services[service].SlotsFor(s.Size)/minFreeSlots))
+	var tasks []*task
+	for _, t := range s.tasks {
+		if t.phase == waiting && len(tasks) < count {
+			tasks = append(tasks, t)
+		}
+	}
+	to.reserve(service, s, len(tasks))
+	p.board.handOverTasks(s.occurrence.job, s, tasks, to.shard)
+}
+
+// peerFor returns the shard with the most room for count tasks of the step, or nil if none
+// has enough. An abandoned step gets the one with the most room in any case.
+func (p *plan) peerFor(s *step, count int, abandoned bool) *peer {
+	var best *peer
+	bestRoom := -1.0
+	for _, candidate := range p.board.peers {
+		service := candidate.services[s.occurrence.job.queue.Service]
+		if service.Capacity == 0 || s.Label != "" && !slices.Contains(service.Labels, s.Label) {
+			continue
+		}
+		room, enough := p.roomAt(service, s, count)
+		if (enough || abandoned) && room > bestRoom {
+			best, bestRoom = candidate, room
+		}
+	}
+	return best
+}
+
+// roomAt returns the fraction of a service's processor time in another shard that the step
+// could have, and whether count of its tasks fit.
+func (p *plan) roomAt(service dottervacancy.Service, s *step, count int) (fraction float64, enough bool) {
+	capacity := float64(service.Capacity)
+	if s.Fills {
+		free := service.Unused - service.Filling
+		fraction = float64(free) / capacity
+		return fraction, free >= int64(count)*s.Size.MilliCores && fraction > p.unusedFraction(s.occurrence.job.queue.Service)+minUnusedDifference
+	}
+	slots := service.SlotsFor(s.Size)
+	return float64(int64(slots)*s.Size.MilliCores) / capacity, slots >= count
+}
+
+// unusedFraction returns the unused fraction of the service's processor time in this shard.
+func (p *plan) unusedFraction(service string) float64 {
+	if fraction, ok := p.unused[service]; ok {
+		return fraction
+	}
+	unused, capacity := int64(0), int64(0)
+	for _, w := range p.workers[service] {
+		if l := p.load(w); l.open {
+			unused, capacity = unused+max(0, l.unusedCPU()), capacity+w.Capacity.MilliCores
+		}
+	}
+	p.unused[service] = float64(unused) / float64(max(1, capacity))
+	return p.unused[service]
+}
+
+// reserve reduces the room of the peer by count tasks of the step.
+func (p *peer) reserve(service string, s *step, count int) {
+	if s.Fills {
+		v := p.services[service]
+		v.Filling += int64(count) * s.Size.MilliCores
+		p.services[service] = v
+		return
+	}
+	p.services[service] = p.services[service].WithReserved(count, s.Size)
+}
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -26,9 +26,16 @@
 	begun           bool               // whether a task has started
 	runs            int                // number of bound tasks
 	idleSince       dotterclock.Millis // since when it has had ready tasks and none bound; 0: a task is bound or none is ready
+	visiting        bool               // its home is another shard; only some of its tasks are here
+	away            int                // number of tasks handed over to other shards
+	moves           int                // how often all of it was handed over
+	leaving         bool               // all of it was handed over, which is not stored yet
+	stored          bool               // the job itself is stored under this shard
 	dirty           bool               // in Board.dirty
 	starts          []*task            // bound since the last batch
 	ends            []*end             // received since the last batch
+	outgoing        []*Transfer        // handed over since the last batch
+	incoming        []string           // keys of transfers that were applied since the last batch
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
@@ -49,6 +56,7 @@
 	waiting       int                // number of tasks neither bound nor done
 	done          int                // number of tasks done
 	readyAt       dotterclock.Millis // when a plan first found the step ready; 0: not yet
+	waitingSince  dotterclock.Millis // since when plans have left tasks of the ready step waiting; 0: none waits
 	remainingPath dotterclock.Millis // declared length of the critical path that begins with this step
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -216,7 +216,11 @@
 	b.counters.Endings[e.Ending]++
 	t := b.find(e.Ref.Task)
 	if t == nil {
-		pending.stored = true // of a job that the board no longer has
+		// Of a job that the board no longer has. If the job was handed over, the task may
+		// have started again, and an end Done may only be acknowledged after the lease has
+		// expired.
+		pending.ignored = e.Ending == dotterrun.Done && !expired
+		pending.stored = !pending.ignored
 		return
 	}
 	j := t.job()
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -14,6 +14,7 @@
 	now     dotterclock.Millis
 	wall    dotterclock.Millis   // time of day
 	workers map[string][]*worker // by service
+	unused  map[string]float64   // by service: see unusedFraction
 	rack    string               // on which a rack-sensitive gang is being placed; empty: any
 }
 
@@ -50,7 +51,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reap(now)
-	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}}
+	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}}
 	candidates := p.candidates()
 	if len(candidates) == 0 {
 		return now + maxListingAge
@@ -65,6 +66,9 @@
 	p.unblock()
 	next := now + replanInterval
 	for _, c := range candidates {
+		if c.step.occurrence.job.leaving {
+			continue // handed over because of another of its steps
+		}
 		if p.isBlocked(c.step) && !p.isStarving(c.step) {
 			next = min(next, now+blockedDuration(c.step))
 		} else if !p.place(c.step) {
@@ -73,6 +77,7 @@
 			next = min(next, now+blockedDuration(c.step))
 		}
 	}
+	p.handOver(candidates)
 	return next
 }
 
@@ -173,10 +178,15 @@
 				continue
 			}
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.ready(p.wall) {
+				if s.waiting == 0 {
+					s.waitingSince = 0
+				} else if s.ready(p.wall) {
 					if s.readyAt == 0 {
 						s.readyAt = p.now
 					}
+					if s.waitingSince == 0 {
+						s.waitingSince = p.now
+					}
 					if j.runs == 0 && j.idleSince == 0 {
 						j.idleSince = p.now
 					}
@@ -233,6 +243,9 @@
 		return p.placeGang(s)
 	}
 	r := p.rank(s)
+	if p.fitsOnlyElsewhere(s, r) {
+		return true
+	}
 	for _, t := range s.tasks {
 		if t.phase != waiting {
 			continue
--- a/internal/job/dotterboard/reap.go
+++ b/internal/job/dotterboard/reap.go
@@ -43,7 +43,11 @@
 	for id, j := range b.jobs {
 		if j.storedOutcome != "" && now-j.outcomeAt > b.settings.RetentionDuration && !b.hasRuns(j) {
 			delete(b.jobs, id)
-			b.expired = append(b.expired, id)
+			if j.visiting {
+				b.dropped = append(b.dropped, id)
+			} else {
+				b.expired = append(b.expired, id)
+			}
 		}
 	}
 }
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -12,9 +12,11 @@
 
 // Record is the stored progress of a job.
 type Record struct {
-	Outcome dotterjob.State `json:",omitempty"`
-	Begun   bool            `json:",omitempty"`
-	Steps   []StepRecord    `json:",omitempty"`
+	Outcome  dotterjob.State `json:",omitempty"`
+	Begun    bool            `json:",omitempty"`
+	Visiting bool            `json:",omitempty"` // the job's home is another shard
+	Moves    int             `json:",omitempty"` // how often the job was handed over to another home
+	Steps    []StepRecord    `json:",omitempty"`
 }
 
 // StepRecord is the progress of a step that differs from its initial state.
@@ -29,6 +31,7 @@
 type TaskRecord struct {
 	Index      int    `json:",omitempty"`
 	Done       bool   `json:",omitempty"`
+	Away       bool   `json:",omitempty"` // handed over to another shard
 	Run        int    `json:",omitempty"`
 	Failures   int    `json:",omitempty"`
 	Worker     string `json:",omitempty"` // to which the run is bound; empty: none
@@ -36,7 +39,7 @@
 }
 
 func newRecord(j *job) Record {
-	r := Record{Outcome: j.outcome, Begun: j.begun}
+	r := Record{Outcome: j.outcome, Begun: j.begun, Visiting: j.visiting, Moves: j.moves}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if step := newStepRecord(s, j.outcome != ""); step.Done || len(step.Tasks) > 0 {
@@ -56,10 +59,10 @@
 		return r
 	}
 	for _, t := range s.tasks {
-		if final && !t.isBound() || t.run == 0 {
+		if final && !t.isBound() || t.run == 0 && t.phase != away {
 			continue
 		}
-		task := TaskRecord{Index: t.index, Run: t.run}
+		task := TaskRecord{Index: t.index, Run: t.run, Away: t.phase == away}
 		if !final {
 			task.Done, task.Failures = t.phase == done, t.failures
 		}
@@ -82,6 +85,19 @@
 	return r.Outcome, r.Begun, err
 }
 
+// Exclude removes a job whose stored progress cannot be read. Starting it could repeat
+// tasks that have run, so it stays as it is stored until somebody mends it.
+func (b *Board) Exclude(id dotterjob.ID, cause error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counters.Excluded++
+	b.logger.Error("job excluded, its stored progress cannot be read", zap.String("Job", string(id)), zap.Error(cause))
+	if j, ok := b.jobs[id]; ok {
+		b.open = deleteJob(b.open, j)
+		delete(b.jobs, id)
+	}
+}
+
 // Restore applies the stored progress of an accepted job. Runs in the record stay bound
 // to their workers until those have listed their runs.
 func (b *Board) Restore(now dotterclock.Millis, id dotterjob.ID, stored []byte) error {
@@ -96,7 +112,7 @@
 		b.logger.Warn("stored progress of an unknown job", zap.String("Job", string(id)))
 		return nil
 	}
-	j.begun = r.Begun
+	j.begun, j.visiting, j.moves = r.Begun, r.Visiting, r.Moves
 	for _, s := range r.Steps {
 		if s.Occurrence >= len(j.occurrences) || s.Step >= len(j.Steps) {
 			continue
@@ -126,6 +142,8 @@
 		switch {
 		case task.Done:
 			b.restoreDone(t)
+		case task.Away:
+			t.setAway()
 		case task.Worker != "":
 			b.restoreBound(now, t, task.Worker)
 		}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -17,6 +17,7 @@
 	inherited              // bound by a previous owner; the worker has not listed the run yet
 	running                // the worker has started the run
 	done
+	away // handed over to another shard
 )
 
 // task is a task and its current run.
@@ -68,7 +69,7 @@
 
 // isBound reports whether the task is bound to a worker.
 func (t *task) isBound() bool {
-	return t.phase != waiting && t.phase != done
+	return t.phase != waiting && t.phase != done && t.phase != away
 }
 
 // mayHaveReachedWorker reports whether the worker may have received the start order.
--- /dev/null
+++ b/internal/job/dotterboard/transfer.go
@@ -0,0 +1,149 @@
+package dotterboard
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+)
+
+// Transfer hands tasks of a job over from one shard to another. None of them is bound to
+// a worker.
+//
+// The commit that removes the tasks from one shard writes the transfer for the other,
+// whose commit applies and deletes it. So at any time exactly one shard may start a task,
+// whichever owners are replaced meanwhile.
+type Transfer struct {
+	Job    dotterjob.Job
+	Home   bool   `json:",omitempty"` // all tasks are handed over, and the receiver becomes the job's home
+	Record Record // progress of the tasks that are handed over
+	To     string `json:"-"` // the receiving shard
+}
+
+// setAway marks a waiting task as handed over.
+func (t *task) setAway() {
+	t.phase = away
+	t.step.waiting--
+	t.job().away++
+}
+
+// handOverTasks hands waiting tasks of one step over to another shard.
+func (b *Board) handOverTasks(j *job, s *step, tasks []*task, to string) {
+	r := StepRecord{Occurrence: s.occurrence.number, Step: s.number}
+	for _, t := range tasks {
+		r.Tasks = append(r.Tasks, TaskRecord{Index: t.index, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint})
+		t.setAway()
+	}
+	j.begun = true // Absorb counts it as begun, since the receiver does not report when it starts
+	if j.visiting && j.runs == 0 && !j.hasTasks() {
+		b.leave(j)
+	}
+	b.send(j, &Transfer{Job: j.Job, Record: Record{Begun: true, Moves: j.moves, Steps: []StepRecord{r}}, To: to}, len(tasks))
+}
+
+// handOverJob hands all tasks of a job over to another shard, which becomes its home.
+func (b *Board) handOverJob(j *job, to string) {
+	j.moves++
+	tasks := 0
+	j.forEachTask(func(t *task) {
+		if t.phase == waiting {
+			tasks++
+		}
+	})
+	t := &Transfer{Job: j.Job, Home: true, Record: newRecord(j), To: to}
+	b.leave(j)
+	b.send(j, t, tasks)
+}
+
+// leave marks a job of which all tasks were handed over.
+func (b *Board) leave(j *job) {
+	j.leaving = true
+	b.open = deleteJob(b.open, j)
+}
+
+func (b *Board) send(j *job, t *Transfer, tasks int) {
+	j.outgoing = append(j.outgoing, t)
+	b.counters.HandedOver += int64(tasks)
+	b.logger.Info("tasks handed over", zap.String("Job", string(j.ID)), zap.String("To", t.To), zap.Bool("Home", t.Home),
+		zap.Int("Tasks", tasks), zap.Int("Moves", j.moves))
+	b.markDirty(j)
+}
+
+// hasTasks reports whether any task of the job is in this shard.
+func (j *job) hasTasks() bool {
+	has := false
+	j.forEachTask(func(t *task) { has = has || t.phase != away })
+	return has
+}
+
+// Absorb applies a transfer to this shard that is stored under key; the job was accepted
+// age ago. It does nothing if the transfer was applied before.
+func (b *Board) Absorb(now, age dotterclock.Millis, key string, t Transfer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.absorbed[key] {
+		return
+	}
+	b.absorbed[key] = true
+	j, ok := b.jobs[t.Job.ID]
+	if !ok || j.leaving {
+		j = b.addJob(now, age, t.Job)
+		j.visiting = true
+		j.forEachTask((*task).setAway)
+	}
+	j.begun = j.begun || t.Record.Begun
+	j.moves = max(j.moves, t.Record.Moves)
+	count := 0
+	if t.Home {
+		j.visiting = false
+		recorded := map[dotterjob.TaskID]TaskRecord{}
+		for _, s := range t.Record.Steps {
+			b.forEachRecorded(j, s, func(task *task, r TaskRecord) { recorded[task.id()] = r })
+		}
+		j.forEachTask(func(task *task) { count += b.takeIn(task, recorded[task.id()]) })
+	} else {
+		for _, s := range t.Record.Steps {
+			b.forEachRecorded(j, s, func(task *task, r TaskRecord) { count += b.takeIn(task, r) })
+		}
+	}
+	j.incoming = append(j.incoming, key)
+	b.counters.Absorbed += int64(count)
+	b.logger.Info("tasks absorbed", zap.String("Job", string(j.ID)), zap.String("Key", key), zap.Bool("Home", t.Home), zap.Int("Tasks", count))
+	b.markDirty(j)
+	b.applyCancellation(now, j.ID)
+}
+
+// forEachRecorded calls visit for each task in the record of a step.
+func (b *Board) forEachRecorded(j *job, r StepRecord, visit func(*task, TaskRecord)) {
+	if r.Occurrence < 0 || r.Occurrence >= len(j.occurrences) || r.Step < 0 || r.Step >= len(j.Steps) {
+		return
+	}
+	s := j.occurrences[r.Occurrence].steps[r.Step]
+	if r.Done {
+		for _, t := range s.tasks {
+			visit(t, TaskRecord{Done: true})
+		}
+		return
+	}
+	for _, task := range r.Tasks {
+		if task.Index >= 0 && task.Index < len(s.tasks) {
+			visit(s.tasks[task.Index], task)
+		}
+	}
+}
+
+// takeIn makes a task that was away one of this shard, with its recorded progress. It
+// returns the number of tasks taken in.
+func (b *Board) takeIn(t *task, r TaskRecord) int {
+	if t.phase != away {
+		return 0
+	}
+	t.phase = waiting
+	t.step.waiting++
+	t.job().away--
+	t.run, t.failures, t.checkpoint = max(t.run, r.Run), max(t.failures, r.Failures), r.Checkpoint
+	if r.Done {
+		b.restoreDone(t)
+	}
+	return 1
+}
--- a/internal/job/dotterentry/keys.go
+++ b/internal/job/dotterentry/keys.go
@@ -1,6 +1,7 @@
 package dotterentry
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
@@ -8,35 +9,66 @@
 
 // Keys and key prefixes of the scheduler in the store.
 const (
-	HeadKey         = "Dotter/Head"
-	InterferenceKey = "Dotter/Learned"   // the owner's estimates of interference between images
-	InboxPrefix     = "Dotter/Inbox/"    // accepted jobs and cancellations
-	ProgressPrefix  = "Dotter/Progress/" // progress of jobs as recorded by the owner
-	cancelSuffix    = "/Cancel"
+	PartitionKey = "Dotter/Partition" // how the workers are divided into shards
+	HeadPrefix   = "Dotter/Head/"     // heads of the shards
+	CancelPrefix = "Dotter/Cancel/"   // cancellations of jobs in any shard
+	homePrefix   = "Dotter/Home/"     // shards of the jobs
 )
 
-// JobKey returns the key of an accepted job.
-func JobKey(id dotterjob.ID) string {
-	return InboxPrefix + string(id)
+// InboxPrefix returns the prefix of the shard's accepted jobs and of transfers to it.
+func InboxPrefix(shard string) string {
+	return "Dotter/Inbox/" + shard + "/"
+}
+
+// ProgressPrefix returns the prefix of the progress of jobs as recorded by the shard's owner.
+func ProgressPrefix(shard string) string {
+	return "Dotter/Progress/" + shard + "/"
+}
+
+// InterferenceKey returns the key of the shard's estimates of interference between images.
+func InterferenceKey(shard string) string {
+	return "Dotter/Learned/" + shard
+}
+
+// HomeKey returns the key of the job's home, whose value is the name of a shard.
+func HomeKey(id dotterjob.ID) string {
+	return homePrefix + string(id)
+}
+
+// JobKey returns the key of a job in a shard.
+func JobKey(shard string, id dotterjob.ID) string {
+	return InboxPrefix(shard) + string(id)
 }
 
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id dotterjob.ID) string {
-	return InboxPrefix + string(id) + cancelSuffix
+	return CancelPrefix + string(id)
+}
+
+// ProgressKey returns the key of a job's progress in a shard.
+func ProgressKey(shard string, id dotterjob.ID) string {
+	return ProgressPrefix(shard) + string(id)
+}
+
+// TransferKey returns the key of a transfer of the job's tasks to a shard: the number-th one
+// of a commit of the sending shard's owner.
+func TransferKey(to string, id dotterjob.ID, from string, epoch, commit int64, number int) string {
+	return fmt.Sprintf("%s/%s.%d.%d.%d", JobKey(to, id), from, epoch, commit, number)
 }
 
-// ProgressKey returns the key of a job's progress.
-func ProgressKey(id dotterjob.ID) string {
-	return ProgressPrefix + string(id)
+// ParseInboxKey returns the job of a key with the shard's InboxPrefix and whether the key
+// is a transfer.
+func ParseInboxKey(shard, key string) (id dotterjob.ID, transfer bool) {
+	name, _, transfer := strings.Cut(strings.TrimPrefix(key, InboxPrefix(shard)), "/")
+	return dotterjob.ID(name), transfer
 }
 
-// ParseInboxKey returns the job of a key with InboxPrefix and whether the key is a cancellation.
-func ParseInboxKey(key string) (id dotterjob.ID, cancel bool) {
-	name, cancel := strings.CutSuffix(strings.TrimPrefix(key, InboxPrefix), cancelSuffix)
-	return dotterjob.ID(name), cancel
+// ParseProgressKey returns the job of a key with the shard's ProgressPrefix.
+func ParseProgressKey(shard, key string) dotterjob.ID {
+	return dotterjob.ID(strings.TrimPrefix(key, ProgressPrefix(shard)))
 }
 
-// ParseProgressKey returns the job of a key with ProgressPrefix.
-func ParseProgressKey(key string) dotterjob.ID {
-	return dotterjob.ID(strings.TrimPrefix(key, ProgressPrefix))
+// ParseCancelKey returns the job of a key with CancelPrefix.
+func ParseCancelKey(key string) dotterjob.ID {
+	return dotterjob.ID(strings.TrimPrefix(key, CancelPrefix))
 }
--- a/internal/job/dotterentry/methods.go
+++ b/internal/job/dotterentry/methods.go
@@ -17,14 +17,15 @@
 	methodPending = "Jobs.Pending"
 )
 
-type submitReply struct {
+// writeReply is the reply to a forwarded submission or cancellation.
+type writeReply struct {
 	Accepted bool
 	Unknown  bool // the write may have taken effect
 	NoJob    bool // there is no such job to cancel
 }
 
 type stateReply struct {
-	Known bool // the answering host owns the shard and has the job
+	Known bool // the answering host owns the job's home
 	State dotterjob.State
 }
 
@@ -48,11 +49,12 @@
 	if err := json.Unmarshal(args, &j); err != nil {
 		return nil, err
 	}
-	if s.StoreUnavailable() {
-		return submitReply{}, nil
+	shard, ok := s.boards.Home(j)
+	if !ok || s.StoreUnavailable() {
+		return writeReply{}, nil
 	}
-	_, err := s.submitLocally(ctx, j)
-	return submitReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown)}, nil
+	err := s.submitLocally(ctx, shard, j)
+	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown)}, nil
 }
 
 func (s *Service) handleCancel(ctx context.Context, args json.RawMessage) (any, error) {
@@ -60,12 +62,11 @@
 	if err := json.Unmarshal(args, &id); err != nil {
 		return nil, err
 	}
-	if s.StoreUnavailable() || !s.elector.Owning() {
-		return submitReply{}, nil
+	if s.StoreUnavailable() {
+		return writeReply{}, nil
 	}
 	err := s.cancelLocally(ctx, id)
-	noJob := errors.Is(err, ErrNoJob)
-	return submitReply{Accepted: err == nil || noJob, NoJob: noJob}, nil
+	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown), NoJob: errors.Is(err, ErrNoJob)}, nil
 }
 
 func (s *Service) handleState(_ context.Context, args json.RawMessage) (any, error) {
@@ -73,16 +74,22 @@
 	if err := json.Unmarshal(args, &id); err != nil {
 		return nil, err
 	}
-	b := s.board()
-	if b == nil {
-		return stateReply{}, nil
+	for _, shard := range s.elector.Shards() {
+		if b := s.boards.Board(shard); b != nil {
+			if state, known := b.State(id); known {
+				return stateReply{Known: true, State: state}, nil
+			}
+		}
 	}
-	state, known := b.State(id)
-	return stateReply{Known: known, State: state}, nil
+	return stateReply{}, nil
 }
 
-func (s *Service) handlePending(context.Context, json.RawMessage) (any, error) {
-	b := s.board()
+func (s *Service) handlePending(_ context.Context, args json.RawMessage) (any, error) {
+	var shard string
+	if err := json.Unmarshal(args, &shard); err != nil {
+		return nil, err
+	}
+	b := s.boards.Board(shard)
 	if b == nil {
 		return pendingReply{}, nil
 	}
--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -4,8 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync"
+	"slices"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -30,20 +31,39 @@
 	ErrUnavailable = eris.New("jobs: neither the owner nor the store can be reached")
 )
 
+// errConflict means that a transaction had no effect because a key was not as expected.
+var errConflict = eris.New("jobs: a key was not as expected")
+
 const (
 	// storeCallTimeout bounds one call to the store, which usually answers within milliseconds.
 	storeCallTimeout = 600 * dotterclock.Millisecond
-	// ownerCallTimeout bounds one call to the owner.
+	// ownerCallTimeout bounds one call to an owner.
 	ownerCallTimeout = 500 * dotterclock.Millisecond
 	// retryDelay is the delay before a call to the store is retried.
 	retryDelay = 50 * dotterclock.Millisecond
-	// pendingTTL is how long the counts of pending jobs are cached.
-	pendingTTL = 800 * dotterclock.Millisecond
+	// maxPendingAge is how old counts of pending jobs may be that were read with the heads.
+	maxPendingAge = 1500 * dotterclock.Millisecond
 	// storeUnavailableTimeout is how long the store may give no answer before it counts as
 	// unavailable and is not called: twice the wait of the watch that every host keeps open.
 	storeUnavailableTimeout = 2200 * dotterclock.Millisecond
+	// writeAttempts is how often a write is sent before the store counts as unreachable.
+	writeAttempts = 3
+	// cancelAttempts is how often a cancellation is tried for a job whose home changes meanwhile.
+	cancelAttempts = 3
+	// forwardAttempts bounds the owners that are asked on behalf of a host without the store.
+	forwardAttempts = 2
+	// maxHomes bounds the jobs whose homes are remembered, some 100 bytes each.
+	maxHomes = 8192
 )
 
+// Boards finds the boards of the shards that this host owns.
+type Boards interface {
+	// Board returns the shard's board, or nil if this host does not own the shard.
+	Board(shard string) *dotterboard.Board
+	// Home chooses the home of a new job, or returns false if no shard is known yet.
+	Home(j dotterjob.Job) (shard string, ok bool)
+}
+
 // Service accepts and cancels jobs and reports their states. It is safe for concurrent use.
 type Service struct {
 	store        dotterelusher.TransactionalStore
@@ -51,19 +71,19 @@
 	elector      *dotterhead.Elector
 	clock        dotterelusher.Clock
 	logger       *zap.Logger
-	board        func() *dotterboard.Board
+	boards       Boards
 	storeFreshAt func() dotterclock.Millis
-
-	mu        sync.Mutex
-	pending   map[string]int // cached answer of the owner, by queue; nil before the first
-	pendingAt dotterclock.Millis
+	homes        *lru.Cache[dotterjob.ID, string] // last known homes of jobs
 }
 
-// New returns a service. board returns the board while this host owns the shard and
-// nil otherwise; storeFreshAt returns when the store last answered this host.
+// New returns a service. storeFreshAt returns when the store last answered this host.
 func New(store dotterelusher.TransactionalStore, links *dotterlink.Client, elector *dotterhead.Elector, clock dotterelusher.Clock,
-	logger *zap.Logger, board func() *dotterboard.Board, storeFreshAt func() dotterclock.Millis) *Service {
-	return &Service{store: store, links: links, elector: elector, clock: clock, logger: logger, board: board, storeFreshAt: storeFreshAt}
+	logger *zap.Logger, boards Boards, storeFreshAt func() dotterclock.Millis) *Service {
+	homes, err := lru.New[dotterjob.ID, string](maxHomes)
+	if err != nil {
+		panic(err) // only for a size that is not positive
+	}
+	return &Service{store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, storeFreshAt: storeFreshAt, homes: homes}
 }
 
 // StoreUnavailable reports whether the store has not answered for storeUnavailableTimeout.
@@ -71,47 +91,60 @@
 	return s.clock.Now()-s.storeFreshAt() > storeUnavailableTimeout
 }
 
-// Submit accepts the job durably; a job that was accepted before is left unchanged.
+// Submit accepts the job durably; a job that was accepted before is left unchanged. Its
+// error is ErrRefused or ErrUnknown.
 func (s *Service) Submit(ctx context.Context, j dotterjob.Job) error {
-	sent := false
+	shard, ok := s.boards.Home(j)
+	if !ok {
+		return eris.Wrap(ErrRefused, "the shards are not known yet")
+	}
 	if !s.StoreUnavailable() {
-		var err error
-		sent, err = s.submitLocally(ctx, j)
-		if err == nil || sent {
+		err := s.submitLocally(ctx, shard, j)
+		if !errors.Is(err, ErrRefused) {
 			return err
 		}
 	}
-	return s.forwardSubmit(ctx, j)
+	return s.forwardSubmit(ctx, shard, j)
 }
 
-// submitLocally creates the job's key. sent reports whether the write may have taken effect.
-func (s *Service) submitLocally(ctx context.Context, j dotterjob.Job) (sent bool, err error) {
+// submitLocally creates the job in the shard.
+func (s *Service) submitLocally(ctx context.Context, shard string, j dotterjob.Job) error {
 	value, err := json.Marshal(j)
 	if err != nil {
-		return false, err
+		return eris.Wrap(ErrRefused, err.Error())
 	}
 	t := dotterkey.Transaction{
-		Expect: map[string]dotterkey.Version{JobKey(j.ID): 0},
-		Puts:   []dotterkey.Entry{{Key: JobKey(j.ID), Value: value}},
+		Expect: map[string]dotterkey.Version{HomeKey(j.ID): 0},
+		Puts:   []dotterkey.Entry{{Key: HomeKey(j.ID), Value: []byte(shard)}, {Key: JobKey(shard, j.ID), Value: value}},
 	}
-	return s.createKey(ctx, "submit", j.ID, t)
+	_, err = s.write(ctx, "submit", j.ID, t)
+	switch {
+	case errors.Is(err, errConflict): // accepted before, perhaps in another shard
+		return nil
+	case err == nil:
+		s.homes.Add(j.ID, shard)
+	}
+	return err
 }
 
-// createKey commits a transaction that creates a key. A conflict counts as success,
-// because it means that the key exists already.
-func (s *Service) createKey(ctx context.Context, operation string, id dotterjob.ID, t dotterkey.Transaction) (sent bool, err error) {
-	const attempts = 3 // then the store counts as unreachable
+// write commits the transaction, and repeats it while its outcome is unknown. Its error is
+// errConflict with the current entries of the keys in Expect, ErrUnknown or ErrRefused.
+func (s *Service) write(ctx context.Context, operation string, id dotterjob.ID, t dotterkey.Transaction) ([]dotterkey.Entry, error) {
+	sent := false
 	for attempt := 1; ; attempt++ {
 		call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
-		_, _, err = s.store.Commit(call, t)
+		_, current, err := s.store.Commit(call, t)
 		cancel()
-		if err == nil || errors.Is(err, dotterelusher.ErrStoreConflict) {
-			return true, nil
+		switch {
+		case err == nil:
+			return nil, nil
+		case errors.Is(err, dotterelusher.ErrStoreConflict):
+			return current, errConflict
 		}
 		sent = sent || errors.Is(err, dotterelusher.ErrStoreIndeterminate)
 		s.logger.Info("write not confirmed", zap.String("Job", string(id)), zap.String("Call", operation), zap.Int("Attempt", attempt),
 			zap.Bool("MayHaveTakenEffect", sent), zap.Int64("StoreFreshMsAgo", int64(s.clock.Now()-s.storeFreshAt())), zap.Error(err))
-		if attempt == attempts || ctx.Err() != nil {
+		if attempt == writeAttempts || ctx.Err() != nil {
 			break
 		}
 		select {
@@ -120,87 +153,162 @@
 		}
 	}
 	if sent {
-		return true, ErrUnknown
+		return nil, ErrUnknown
 	}
-	return false, ErrRefused
+	return nil, ErrRefused
 }
 
-// forwardSubmit submits the job through the owner's host.
-func (s *Service) forwardSubmit(ctx context.Context, j dotterjob.Job) error {
-	var reply submitReply
-	err := s.callOwner(ctx, methodSubmit, j, &reply)
+// forwardSubmit submits the job through the host of an owner, that of the shard first.
+func (s *Service) forwardSubmit(ctx context.Context, shard string, j dotterjob.Job) error {
+	reply, err := s.forward(ctx, shard, methodSubmit, j)
 	switch {
-	case err == nil && reply.Accepted:
-		s.logger.Info("job submitted through the owner", zap.String("Job", string(j.ID)))
+	case err != nil:
+		return err
+	case reply.Accepted:
+		s.logger.Info("job submitted through an owner", zap.String("Job", string(j.ID)), zap.String("Shard", shard))
 		return nil
-	case err == nil && reply.Unknown, errors.Is(err, dotterlink.ErrNoAnswer):
+	case reply.Unknown:
 		return ErrUnknown
 	}
 	return ErrRefused
 }
 
+// forward makes a call that changes something through the host of an owner: that of the
+// shard, or the next one if that cannot be reached. Its error is ErrUnknown or ErrRefused.
+func (s *Service) forward(ctx context.Context, shard, method string, args any) (writeReply, error) {
+	shards := append([]string{shard}, s.elector.Shards()...)
+	tried := map[string]bool{} // hosts
+	for _, next := range shards {
+		owner, ok := s.elector.Owner(next)
+		if !ok || tried[owner.Host] || s.elector.Owning(next) || len(tried) == forwardAttempts {
+			continue
+		}
+		tried[owner.Host] = true
+		var reply writeReply
+		err := s.callOwner(ctx, next, method, args, &reply)
+		switch {
+		case err == nil:
+			return reply, nil
+		case errors.Is(err, dotterlink.ErrNoAnswer):
+			return writeReply{}, ErrUnknown
+		}
+	}
+	return writeReply{}, ErrRefused
+}
+
 // Cancel cancels the job durably. Its error is ErrNoJob, ErrUnknown or ErrUnavailable.
 func (s *Service) Cancel(ctx context.Context, id dotterjob.ID) error {
-	err := s.cancelLocally(ctx, id)
-	if !errors.Is(err, ErrUnavailable) || s.elector.Owning() {
-		return err
+	if !s.StoreUnavailable() {
+		err := s.cancelLocally(ctx, id)
+		if !errors.Is(err, ErrUnavailable) {
+			return err
+		}
 	}
-	var reply submitReply
-	if err := s.callOwner(ctx, methodCancel, id, &reply); err != nil || !reply.Accepted {
+	shard, _ := s.homes.Get(id)
+	reply, err := s.forward(ctx, shard, methodCancel, id)
+	switch {
+	case errors.Is(err, ErrUnknown) || err == nil && reply.Unknown:
+		return ErrUnknown
+	case err != nil:
 		return ErrUnavailable
-	}
-	if reply.NoJob {
+	case reply.NoJob:
 		return ErrNoJob
+	case reply.Accepted:
+		return nil
 	}
-	return nil
+	return ErrUnavailable
 }
 
 // cancelLocally creates the cancellation's key. ErrUnavailable means that nothing was written.
 func (s *Service) cancelLocally(ctx context.Context, id dotterjob.ID) error {
+	for range cancelAttempts {
+		home, err := s.readHome(ctx, id)
+		if err != nil {
+			return err
+		}
+		t := dotterkey.Transaction{
+			Expect: map[string]dotterkey.Version{HomeKey(id): home.Version, CancelKey(id): 0},
+			Puts:   []dotterkey.Entry{{Key: CancelKey(id), Value: []byte("{}")}},
+		}
+		current, err := s.write(ctx, "cancel", id, t)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, ErrRefused):
+			return ErrUnavailable
+		case !errors.Is(err, errConflict):
+			return err
+		case slices.ContainsFunc(current, func(e dotterkey.Entry) bool { return e.Key == CancelKey(id) }):
+			return nil // cancelled before, or by an attempt whose answer was lost
+		}
+	}
+	return ErrUnavailable
+}
+
+// readHome reads the home of the job from the store. Its error is ErrNoJob or ErrUnavailable.
+func (s *Service) readHome(ctx context.Context, id dotterjob.ID) (dotterkey.Entry, error) {
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
-	entry, err := s.store.Get(call, JobKey(id))
-	cancel()
+	defer cancel()
+	home, err := s.store.Get(call, HomeKey(id))
 	if errors.Is(err, dotterelusher.ErrStoreNotFound) {
-		return ErrNoJob
+		return home, ErrNoJob
 	}
 	if err != nil {
-		s.logger.Info("cancellation not stored: cannot read the job's key", zap.String("Job", string(id)), zap.Error(err))
-		return ErrUnavailable
+		s.logger.Info("home of the job not read", zap.String("Job", string(id)), zap.Error(err))
+		return home, ErrUnavailable
 	}
-	t := dotterkey.Transaction{
-		Expect: map[string]dotterkey.Version{JobKey(id): entry.Version, CancelKey(id): 0},
-		Puts:   []dotterkey.Entry{{Key: CancelKey(id), Value: []byte("{}")}},
-	}
-	if sent, err := s.createKey(ctx, "cancel", id, t); err != nil && !sent {
-		return ErrUnavailable
-	} else if err != nil {
-		return ErrUnknown
-	}
-	return nil
+	s.homes.Add(id, string(home.Value))
+	return home, nil
 }
 
 // State returns the job's state. Its error is ErrNoJob or ErrUnavailable.
 func (s *Service) State(ctx context.Context, id dotterjob.ID) (dotterjob.State, error) {
+	remembered, ok := s.homes.Get(id)
+	if ok {
+		if state, known := s.stateAt(ctx, remembered, id); known {
+			return state, nil
+		}
+	}
+	if s.StoreUnavailable() {
+		return s.stateAnywhere(ctx, id)
+	}
+	home, err := s.readHome(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	shard := string(home.Value)
+	if shard != remembered {
+		if state, known := s.stateAt(ctx, shard, id); known {
+			return state, nil
+		}
+	}
+	return s.storedState(ctx, shard, id)
+}
+
+// stateAt asks the owner of the shard for the job's state. It returns false if the owner
+// cannot be reached or is not the job's home.
+func (s *Service) stateAt(ctx context.Context, shard string, id dotterjob.ID) (dotterjob.State, bool) {
 	var reply stateReply
-	err := s.callOwner(ctx, methodState, id, &reply)
-	if err == nil && reply.Known {
-		return reply.State, nil
+	err := s.callOwner(ctx, shard, methodState, id, &reply)
+	return reply.State, err == nil && reply.Known
+}
+
+// stateAnywhere asks all owners, for a host that cannot read the job's home.
+func (s *Service) stateAnywhere(ctx context.Context, id dotterjob.ID) (dotterjob.State, error) {
+	for _, shard := range s.elector.Shards() {
+		if state, known := s.stateAt(ctx, shard, id); known {
+			s.homes.Add(id, shard)
+			return state, nil
+		}
 	}
-	return s.storedState(ctx, id)
+	return "", ErrUnavailable
 }
 
 // storedState derives the job's state from the store, for when the owner does not report it.
-func (s *Service) storedState(ctx context.Context, id dotterjob.ID) (dotterjob.State, error) {
+func (s *Service) storedState(ctx context.Context, shard string, id dotterjob.ID) (dotterjob.State, error) {
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
-	_, err := s.store.Get(call, JobKey(id))
-	if errors.Is(err, dotterelusher.ErrStoreNotFound) {
-		return "", ErrNoJob
-	}
-	if err != nil {
-		return "", ErrUnavailable
-	}
-	progress, err := s.store.Get(call, ProgressKey(id))
+	progress, err := s.store.Get(call, ProgressKey(shard, id))
 	if errors.Is(err, dotterelusher.ErrStoreNotFound) {
 		return dotterjob.Queued, nil
 	}
@@ -220,41 +328,48 @@
 	return dotterjob.Queued, nil
 }
 
-// Pending returns the number of jobs of the queue that have no started task.
+// Pending returns the number of jobs of the queue that have no started task. Owners publish
+// it with their heads; one that has not done so recently is asked.
 func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now := s.clock.Now(); s.pending == nil || now-s.pendingAt > pendingTTL {
-		var reply pendingReply
-		if err := s.callOwner(ctx, methodPending, nil, &reply); err != nil || !reply.Known {
-			return 0, ErrUnavailable
-		}
-		s.pending, s.pendingAt = reply.Pending, now
-		if s.pending == nil {
-			s.pending = map[string]int{}
+	shards := s.elector.Shards()
+	fresh := s.clock.Now()-s.elector.ReadAt() < maxPendingAge
+	sum, known := 0, false
+	for _, shard := range shards {
+		owner, ok := s.elector.Owner(shard)
+		counts := owner.Vacancy.Pending
+		if !fresh || !s.elector.Live(shard) {
+			var reply pendingReply
+			if err := s.callOwner(ctx, shard, methodPending, shard, &reply); err == nil && reply.Known {
+				counts, ok = reply.Pending, true
+			}
 		}
+		sum += counts[queue]
+		known = known || ok
+	}
+	if !known {
+		return 0, ErrUnavailable
 	}
-	return s.pending[queue], nil
+	return sum, nil
 }
 
-// callOwner calls a method on the owner, which may be this host.
-func (s *Service) callOwner(ctx context.Context, method string, args, reply any) error {
-	owner, ok := s.elector.Owner()
+// callOwner calls a method on the shard's owner, which may be this host.
+func (s *Service) callOwner(ctx context.Context, shard, method string, args, reply any) error {
+	owner, ok := s.elector.Owner(shard)
 	if !ok {
 		return ErrUnavailable
 	}
-	if s.elector.Owning() {
+	if s.elector.Owning(shard) {
 		return s.callLocal(ctx, method, args, reply)
 	}
 	call, cancel := context.WithTimeout(ctx, ownerCallTimeout.Duration())
 	defer cancel()
 	err := s.links.Call(call, owner.Address, method, args, reply)
 	if errors.Is(err, dotterlink.ErrRefused) {
-		s.elector.Suspect(owner.Host)
+		s.elector.Suspect(shard, owner.Host)
 	}
 	if err != nil && ctx.Err() == nil {
-		s.logger.Info("call to the owner failed", zap.String("Owner", owner.Host), zap.Int64("Epoch", owner.Epoch),
-			zap.String("Method", method), zap.Int64("HeadReadMsAgo", int64(s.clock.Now()-s.elector.HeadReadAt())), zap.Error(err))
+		s.logger.Info("call to the owner failed", zap.String("Shard", shard), zap.String("Owner", owner.Host), zap.Int64("Epoch", owner.Epoch),
+			zap.String("Method", method), zap.Int64("HeadReadMsAgo", int64(s.clock.Now()-s.elector.ReadAt())), zap.Error(err))
 	}
 	return err
 }
--- a/internal/job/dotterhead/committer.go
+++ b/internal/job/dotterhead/committer.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottervacancy"
 )
 
 // Errors of a Committer.
@@ -44,6 +45,7 @@
 	version           dotterkey.Version
 	predecessorExpiry dotterclock.Millis
 	confirmedAt       atomic.Int64
+	vacancy           dottervacancy.Vacancy
 }
 
 // Epoch returns the owner's epoch.
@@ -51,6 +53,11 @@
 	return c.head.Epoch
 }
 
+// Number returns the number of the newest confirmed commit of this epoch.
+func (c *Committer) Number() int64 {
+	return c.head.Commit
+}
+
 // PredecessorExpiry returns the time until which the previous owner may keep sending orders.
 func (c *Committer) PredecessorExpiry() dotterclock.Millis {
 	return c.predecessorExpiry
@@ -67,6 +74,12 @@
 	return dotterclock.Millis(c.confirmedAt.Load())
 }
 
+// SetVacancy sets what the following commits publish of the shard's room. It must not be
+// called during a commit.
+func (c *Committer) SetVacancy(v dottervacancy.Vacancy) {
+	c.vacancy = v
+}
+
 // MaxEntries is how many keys one commit may change in addition to the head.
 const MaxEntries = dotterkey.MaxTransactionEntries - 2
 
@@ -76,6 +89,7 @@
 func (c *Committer) Commit(ctx context.Context, puts []dotterkey.Entry, deletes []string) error {
 	next := c.head
 	next.Commit++
+	next.Vacancy = c.vacancy
 	return c.advance(ctx, next, puts, deletes)
 }
 
@@ -131,7 +145,7 @@
 			continue
 		}
 		found, err := decode(e.Value)
-		if err == nil && found == next {
+		if err == nil && found.sameCommit(next) {
 			return e.Version, nil
 		}
 	}
--- /dev/null
+++ b/internal/model/dottervacancy/vacancy.go
@@ -0,0 +1,65 @@
+package dottervacancy
+
+import (
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// classMilliCores are the upper bounds of the size classes, in thousandths of a core.
+var classMilliCores = [...]int64{1000, 2000, 4000, 8000, 12_000, 16_000, 20_000, 24_000, 32_000, 48_000, 64_000}
+
+// memoryPerCoreMB is the memory that a task is assumed to reserve for each core.
+const memoryPerCoreMB = 2000
+
+// Vacancy describes a shard.
+type Vacancy struct {
+	Services map[string]Service `json:",omitempty"`
+	Pending  map[string]int     `json:",omitempty"` // by queue: jobs of which no task has started
+}
+
+// Service describes the workers of a service that accept starts. Processor time is in
+// thousandths of a core.
+type Service struct {
+	Capacity int64
+	Reserved int64                     // by tasks that do not fill
+	Unused   int64                     // estimate of what no task uses, which filling tasks can have
+	Waiting  int64                     `json:",omitempty"` // declared by waiting tasks that do not fill
+	Filling  int64                     `json:",omitempty"` // declared by waiting tasks that fill
+	Slots    [len(classMilliCores)]int // by size class: how many more tasks fit
+	Labels   []string                  `json:",omitempty"` // of any worker, sorted
+}
+
+// class returns the size class of a task, or false if it is larger than any.
+func class(size dotterroom.Room) (int, bool) {
+	for i, bound := range classMilliCores {
+		if size.MilliCores <= bound {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// AddFree counts the tasks of each size class that fit into the free room of one worker.
+func (s *Service) AddFree(free dotterroom.Room) {
+	for i, bound := range classMilliCores {
+		s.Slots[i] += int(max(0, min(free.MilliCores/bound, free.MemoryMB*1000/(bound*memoryPerCoreMB))))
+	}
+}
+
+// SlotsFor returns how many more tasks of the size fit, at least.
+func (s Service) SlotsFor(size dotterroom.Room) int {
+	i, ok := class(size)
+	if !ok {
+		return 0
+	}
+	return s.Slots[i]
+}
+
+// WithReserved returns s after count more tasks of the size were placed.
+func (s Service) WithReserved(count int, size dotterroom.Room) Service {
+	taken := int64(count) * size.MilliCores
+	s.Reserved += taken
+	for i, bound := range classMilliCores {
+		s.Slots[i] = max(0, s.Slots[i]-int((taken+bound-1)/bound))
+	}
+	return s
+}
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -19,6 +19,8 @@
 	endings     *prometheus.Desc
 	outcomes    *prometheus.Desc
 	resolved    *prometheus.Desc
+	transferred *prometheus.Desc
+	excluded    *prometheus.Desc
 }
 
 // NewCollector returns a collector for scheduler.
@@ -28,15 +30,17 @@
 	}
 	return &Collector{
 		scheduler: scheduler, clock: clock,
-		owner:       desc("owner", "1 while this host owns the shard."),
+		owner:       desc("owned_shards", "Shards that this host owns."),
 		version:     desc("configuration_version", "Version of the configuration in force here."),
 		age:         desc("configuration_age_seconds", "Time since the store last confirmed the configuration."),
-		boardCounts: desc("board", "What the owner has, by kind.", "kind"),
-		starts:      desc("starts_total", "Starts ordered since this host took over."),
-		refused:     desc("starts_refused_total", "Starts that workers refused, by reason.", "reason"),
-		endings:     desc("runs_ended_total", "Runs that ended, by how.", "ending"),
-		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "outcome"),
-		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "how"),
+		boardCounts: desc("board", "What the shard's owner has, by kind.", "shard", "kind"),
+		starts:      desc("starts_total", "Starts ordered since this host took the shard over.", "shard"),
+		refused:     desc("starts_refused_total", "Starts that workers refused, by reason.", "shard", "reason"),
+		endings:     desc("runs_ended_total", "Runs that ended, by how.", "shard", "ending"),
+		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
+		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
+		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
+		excluded:    desc("jobs_excluded_total", "Jobs set aside because their stored progress cannot be read.", "shard"),
 	}
 }
 
@@ -56,28 +60,29 @@
 	document, _ := c.scheduler.Configuration()
 	gauge(c.version, float64(document.Version))
 	gauge(c.age, (c.clock.Now() - c.scheduler.FreshAt()).Seconds())
-	s, owning := c.scheduler.Summary()
-	if !owning {
-		gauge(c.owner, 0)
-		return
+	summaries := c.scheduler.Summaries()
+	gauge(c.owner, float64(len(summaries)))
+	for shard, s := range summaries {
+		for kind, n := range map[string]int{
+			"Jobs": s.Jobs, "Waiting": s.Waiting, "Bound": s.Bound, "Workers": s.Workers,
+			"Silent": s.Unresponsive, "Quarantine": s.Quarantined, "Harmed": s.OverTarget,
+		} {
+			gauge(c.boardCounts, float64(n), shard, kind)
+		}
+		counter(c.starts, s.Starts, shard)
+		for reason, n := range s.Refused {
+			counter(c.refused, n, shard, string(reason))
+		}
+		for ending, n := range s.Endings {
+			counter(c.endings, n, shard, string(ending))
+		}
+		for outcome, n := range s.Outcomes {
+			counter(c.outcomes, n, shard, string(outcome))
+		}
+		counter(c.resolved, s.ResolvedByStop, shard, "Sealed")
+		counter(c.resolved, s.Lost, shard, "Lost")
+		counter(c.transferred, s.HandedOver, shard, "Sent")
+		counter(c.transferred, s.Absorbed, shard, "Received")
+		counter(c.excluded, s.Excluded, shard)
 	}
-	gauge(c.owner, 1)
-	for kind, n := range map[string]int{
-		"Jobs": s.Jobs, "Waiting": s.Waiting, "Bound": s.Bound, "Workers": s.Workers,
-		"Silent": s.Unresponsive, "Quarantine": s.Quarantined, "Harmed": s.OverTarget,
-	} {
-		gauge(c.boardCounts, float64(n), kind)
-	}
-	counter(c.starts, s.Starts)
-	for reason, n := range s.Refused {
-		counter(c.refused, n, string(reason))
-	}
-	for ending, n := range s.Endings {
-		counter(c.endings, n, string(ending))
-	}
-	for outcome, n := range s.Outcomes {
-		counter(c.outcomes, n, string(outcome))
-	}
-	counter(c.resolved, s.ResolvedByStop, "Sealed")
-	counter(c.resolved, s.Lost, "Lost")
 }
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterreplica"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottervacancy"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
 
@@ -30,6 +31,8 @@
 	// commitInterval is the minimum time between commits while only other changes, such
 	// as ends of runs, are pending.
 	commitInterval = 150 * dotterclock.Millisecond
+	// publishInterval is how often what the head publishes is brought up to date.
+	publishInterval = 200 * dotterclock.Millisecond
 	// syncInterval is how often the sessions are matched with the known workers.
 	syncInterval = 400 * dotterclock.Millisecond
 	// advicePollInterval is how often the board is polled for requests to admission policies.
@@ -44,9 +47,15 @@
 	loadTimeout = 6 * dotterclock.Second
 )
 
-// shardOwner does the work of the shard's owner.
+// shardOwner does the work of a shard's owner.
 type shardOwner struct {
 	*Scheduler
+	shard  string
+	logger *zap.Logger // names the shard
+}
+
+func newShardOwner(s *Scheduler, shard string) shardOwner {
+	return shardOwner{Scheduler: s, shard: shard, logger: s.logger.With(zap.String("Shard", shard))}
 }
 
 // Own implements dotterhead.Owner.
@@ -62,8 +71,8 @@
 		return nil // releases the shard, so that another host can try
 	}
 	o.logger.Info("shard loaded", zap.Int64("Epoch", committer.Epoch()), zap.Int64("TookMs", int64(o.clock.Now()-startedAt)), zap.Int("Jobs", b.Summary(startedAt).Jobs))
-	o.board.Store(b)
-	defer o.board.Store(nil)
+	o.setBoard(o.shard, b)
+	defer o.setBoard(o.shard, nil)
 	if c := o.configuration.Load(); c != nil { // the configuration may have changed before the board was stored
 		b.Configure(c.document, c.outDomains)
 	}
@@ -71,40 +80,61 @@
 	ownerCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	directory := dotterreplica.New(o.platform.Store, o.clock, o.logger, o.platform.DirectoryPrefix, watchWait,
-		o.platform.NewDirectorySink(func(workers map[string]dotterworker.Worker) { b.UpdateDirectory(o.clock.Now(), workers) }))
-	inbox := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.InboxPrefix, watchWait, inboxSink{o, b})
+		o.platform.NewDirectorySink(func(workers map[string]dotterworker.Worker) {
+			b.UpdateDirectory(o.clock.Now(), o.ownWorkers(workers))
+		}))
+	inbox := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.InboxPrefix(o.shard), watchWait, inboxSink{o, b})
+	cancellations := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.CancelPrefix, watchWait, cancelSink{o, b})
 	// Own waits only for the commit loop. The other goroutines may be in a long call when
 	// their context ends, but what they change afterwards is never committed.
 	go func() { _ = directory.Run(ownerCtx) }()
 	go func() { _ = inbox.RunFrom(ownerCtx, revision) }()
+	go func() { _ = cancellations.Run(ownerCtx) }()
 	go o.plan(ownerCtx, b, planChanges)
 	go o.advise(ownerCtx, b)
 	go o.dispatch(ownerCtx, b, committer)
 	return o.commit(ownerCtx, b, committer, commitChanges)
 }
 
+// ownWorkers returns the workers of the shard.
+func (o shardOwner) ownWorkers(workers map[string]dotterworker.Worker) map[string]dotterworker.Worker {
+	p := o.partition.Load()
+	own := map[string]dotterworker.Worker{}
+	for id, w := range workers {
+		if p.ShardOf(w) == o.shard {
+			own[id] = w
+		}
+	}
+	return own
+}
+
 // load reads the shard's state from the store into the board. It returns the revision
 // as of which the inbox was read.
 func (o shardOwner) load(ctx context.Context, b *dotterboard.Board) (dotterkey.Revision, error) {
 	call, cancel := context.WithTimeout(ctx, loadTimeout.Duration())
 	defer cancel()
-	inbox, revision, err := o.platform.Store.List(call, dotterentry.InboxPrefix)
+	inbox, revision, err := o.platform.Store.List(call, dotterentry.InboxPrefix(o.shard))
 	if err != nil {
 		return 0, err
 	}
-	progress, _, err := o.platform.Store.List(call, dotterentry.ProgressPrefix)
+	progress, _, err := o.platform.Store.List(call, dotterentry.ProgressPrefix(o.shard))
+	if err != nil {
+		return 0, err
+	}
+	cancellations, _, err := o.platform.Store.List(call, dotterentry.CancelPrefix)
 	if err != nil {
 		return 0, err
 	}
 	sink := inboxSink{o, b}
 	sink.accept(inbox)
 	for _, e := range progress {
-		id := dotterentry.ParseProgressKey(e.Key)
+		id := dotterentry.ParseProgressKey(o.shard, e.Key)
 		if err := b.Restore(o.clock.Now(), id, e.Value); err != nil {
-			return 0, err
+			b.Exclude(id, err)
 		}
 	}
-	sink.cancel(inbox)
+	sink.absorb(inbox)
+	cancelSink{o, b}.Reset(cancellations)
 	o.loadLearned(call, b)
 	return revision, nil
 }
@@ -112,7 +142,7 @@
 // loadLearned restores the predecessor's interference model. Failures are only logged,
 // since the model can be learned again.
 func (o shardOwner) loadLearned(ctx context.Context, b *dotterboard.Board) {
-	learned, err := o.platform.Store.Get(ctx, dotterentry.InterferenceKey)
+	learned, err := o.platform.Store.Get(ctx, dotterentry.InterferenceKey(o.shard))
 	if err == nil {
 		err = b.RestoreLearned(o.clock.Now(), learned.Value)
 	}
@@ -168,13 +198,14 @@
 // heartbeat interval, which shows other hosts that the owner is alive.
 func (o shardOwner) commit(ctx context.Context, b *dotterboard.Board, committer *dotterhead.Committer, changed <-chan struct{}) error {
 	last := o.clock.Now()
-	learnedAt := last
+	learnedAt, publishedAt := last, dotterclock.Millis(0)
+	urgentInterval := o.settings.commitInterval(len(o.elector.Shards()))
 	for {
 		now := o.clock.Now()
 		due := last + dotterhead.HeartbeatInterval
 		switch {
 		case b.Urgent():
-			due = last + urgentCommitInterval
+			due = last + urgentInterval
 		case b.Dirty():
 			due = last + commitInterval
 		}
@@ -193,6 +224,10 @@
 			learnedAt = now
 			extra = o.learned(b)
 		}
+		if now-publishedAt >= publishInterval {
+			publishedAt = now
+			committer.SetVacancy(o.vacancy(now, b))
+		}
 		if err := o.commitBatch(ctx, b, committer, extra); err != nil {
 			return err
 		}
@@ -202,6 +237,15 @@
 	}
 }
 
+// vacancy returns what the shard's head publishes. The only shard of a platform publishes
+// no room, because nobody has a choice.
+func (o shardOwner) vacancy(now dotterclock.Millis, b *dotterboard.Board) dottervacancy.Vacancy {
+	if len(o.elector.Shards()) == 1 {
+		return dottervacancy.Vacancy{Pending: b.Pending()}
+	}
+	return b.Vacancy(now, wallTime())
+}
+
 // learned returns the interference model as an entry for a successor, or nothing if it
 // cannot be encoded.
 func (o shardOwner) learned(b *dotterboard.Board) []dotterkey.Entry {
@@ -210,7 +254,7 @@
 		o.logger.Error("interference model not saved", zap.Error(err))
 		return nil
 	}
-	return []dotterkey.Entry{{Key: dotterentry.InterferenceKey, Value: value}}
+	return []dotterkey.Entry{{Key: dotterentry.InterferenceKey(o.shard), Value: value}}
 }
 
 // commitBatch commits a batch of the board's changes together with the entries in puts.
@@ -219,13 +263,11 @@
 	if err != nil {
 		return err
 	}
-	for id, record := range batch.Records {
-		puts = append(puts, dotterkey.Entry{Key: dotterentry.ProgressKey(id), Value: record})
-	}
-	var deletes []string
-	for _, id := range batch.Expired {
-		deletes = append(deletes, dotterentry.JobKey(id), dotterentry.CancelKey(id), dotterentry.ProgressKey(id))
+	batchPuts, deletes, err := o.keys(batch, committer)
+	if err != nil {
+		return err
 	}
+	puts = append(puts, batchPuts...)
 	err = committer.Commit(ctx, puts, deletes)
 	if errors.Is(err, dotterhead.ErrStopped) && ctx.Err() != nil {
 		return nil
@@ -237,12 +279,50 @@
 	return nil
 }
 
-// dispatch maintains the sessions with the workers. It sends nothing once the store
+// keys returns the keys that a batch writes and deletes.
+func (o shardOwner) keys(batch *dotterboard.Batch, committer *dotterhead.Committer) (puts []dotterkey.Entry, deletes []string, err error) {
+	put := func(key string, value any) error {
+		encoded, err := json.Marshal(value)
+		puts = append(puts, dotterkey.Entry{Key: key, Value: encoded})
+		return err
+	}
+	for id, record := range batch.Records {
+		puts = append(puts, dotterkey.Entry{Key: dotterentry.ProgressKey(o.shard, id), Value: record})
+	}
+	for _, j := range batch.Jobs {
+		if err := put(dotterentry.JobKey(o.shard, j.ID), j); err != nil {
+			return nil, nil, err
+		}
+	}
+	for i, t := range batch.Transfers {
+		key := dotterentry.TransferKey(t.To, t.Job.ID, o.shard, committer.Epoch(), committer.Number()+1, i)
+		if err := put(key, t); err != nil {
+			return nil, nil, err
+		}
+		if t.Home {
+			puts = append(puts, dotterkey.Entry{Key: dotterentry.HomeKey(t.Job.ID), Value: []byte(t.To)})
+		}
+	}
+	for _, id := range batch.Cancelled {
+		puts = append(puts, dotterkey.Entry{Key: dotterentry.CancelKey(id), Value: []byte("{}")})
+	}
+	deletes = append(deletes, batch.Absorbed...)
+	for _, id := range append(batch.Dropped, batch.Expired...) {
+		deletes = append(deletes, dotterentry.JobKey(o.shard, id), dotterentry.ProgressKey(o.shard, id))
+	}
+	for _, id := range batch.Expired {
+		deletes = append(deletes, dotterentry.HomeKey(id), dotterentry.CancelKey(id))
+	}
+	return puts, deletes, nil
+}
+
+// dispatch maintains the sessions with the workers, and tells the board of other shards. It sends nothing once the store
 // has not confirmed a commit for dotterhead.OwnershipTimeout, after which this host may no
 // longer renew leases.
 func (o shardOwner) dispatch(ctx context.Context, b *dotterboard.Board, committer *dotterhead.Committer) {
 	d := dotterdispatch.New(b, o.platform.Runs, o.clock, o.logger, committer.OwnershipValid)
 	for ctx.Err() == nil {
+		b.SetPeers(o.peersOf(o.shard))
 		d.Sync(ctx)
 		select {
 		case <-ctx.Done():
@@ -251,7 +331,7 @@
 	}
 }
 
-// inboxSink applies accepted jobs and cancellations to the board.
+// inboxSink applies accepted jobs and transfers to the board.
 type inboxSink struct {
 	shardOwner
 	board *dotterboard.Board
@@ -260,7 +340,7 @@
 // Reset implements dotterreplica.Sink.
 func (s inboxSink) Reset(entries []dotterkey.Entry) {
 	s.accept(entries)
-	s.cancel(entries)
+	s.absorb(entries)
 }
 
 // Change implements dotterreplica.Sink.
@@ -270,8 +350,8 @@
 
 func (s inboxSink) accept(entries []dotterkey.Entry) {
 	for _, e := range entries {
-		id, cancel := dotterentry.ParseInboxKey(e.Key)
-		if cancel {
+		id, transfer := dotterentry.ParseInboxKey(s.shard, e.Key)
+		if transfer {
 			continue
 		}
 		var j dotterjob.Job
@@ -283,10 +363,38 @@
 	}
 }
 
-func (s inboxSink) cancel(entries []dotterkey.Entry) {
+func (s inboxSink) absorb(entries []dotterkey.Entry) {
 	for _, e := range entries {
-		if id, cancel := dotterentry.ParseInboxKey(e.Key); cancel {
-			s.board.Cancel(s.clock.Now(), id)
+		id, transfer := dotterentry.ParseInboxKey(s.shard, e.Key)
+		if !transfer {
+			continue
+		}
+		var t dotterboard.Transfer
+		if err := json.Unmarshal(e.Value, &t); err != nil {
+			s.logger.Error("transfer not decoded", zap.String("Job", string(id)), zap.String("Key", e.Key), zap.Error(err))
+			continue
 		}
+		s.board.Absorb(s.clock.Now(), wallTime()-t.Job.AcceptedAt, e.Key, t)
+	}
+}
+
+// cancelSink applies cancellations to the board.
+type cancelSink struct {
+	shardOwner
+	board *dotterboard.Board
+}
+
+// Reset implements dotterreplica.Sink.
+func (s cancelSink) Reset(entries []dotterkey.Entry) {
+	for _, e := range entries {
+		s.board.Cancel(s.clock.Now(), dotterentry.ParseCancelKey(e.Key))
+	}
+}
+
+// Change implements dotterreplica.Sink.
+func (s cancelSink) Change(changes dotterkey.Changes) {
+	s.Reset(changes.Entries)
+	for _, key := range changes.Deleted {
+		s.board.ForgetCancellation(dotterentry.ParseCancelKey(key))
 	}
 }
--- a/internal/server/dotterscheduler/scheduler.go
+++ b/internal/server/dotterscheduler/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterhead"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterlink"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterreplica"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterpartition"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 )
 
@@ -39,13 +41,16 @@
 	tomb     tomb.Tomb
 
 	configuration atomic.Pointer[configuration]
+	partition     atomic.Pointer[dotterpartition.Partition] // nil until it is known
 	operatorKeys  *dotterreplica.Replica
 	elector       *dotterhead.Elector
 	links         *dotterlink.Client
 	server        *dotterlink.Server
 	jobs          *dotterentry.Service
-	board         atomic.Pointer[dotterboard.Board]
 	stopping      atomic.Bool
+
+	mu     sync.Mutex
+	boards map[string]*dotterboard.Board // of the shards that this host owns
 }
 
 // New binds the link address and returns a scheduler that is not started yet.
@@ -54,10 +59,13 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Scheduler{server: server, settings: settings, platform: platform, clock: clock, logger: logger, links: dotterlink.NewClient()}
+	s := &Scheduler{server: server, settings: settings, platform: platform, clock: clock, logger: logger, links: dotterlink.NewClient(),
+		boards: map[string]*dotterboard.Board{}}
 	s.operatorKeys = dotterreplica.New(platform.Store, clock, logger, platform.OperatorPrefix, watchWait, platform.NewOperatorSink(s.configure))
-	s.elector = dotterhead.New(platform.Store, clock, logger, dotterentry.HeadKey, settings.Host, server.Address(), settings.Weak)
-	s.jobs = dotterentry.New(platform.Store, s.links, s.elector, clock, logger, s.board.Load, s.operatorKeys.FreshAt)
+	s.elector = dotterhead.New(platform.Store, clock, logger, dotterentry.HeadPrefix, dotterhead.Candidate{
+		Host: settings.Host, Address: server.Address(), FailureDomain: settings.FailureDomain, Weak: settings.Weak,
+	})
+	s.jobs = dotterentry.New(platform.Store, s.links, s.elector, clock, logger, s, s.operatorKeys.FreshAt)
 	return s, nil
 }
 
@@ -68,13 +76,19 @@
 	s.tomb.Go(func() error { return s.operatorKeys.Run(ctx) })
 	s.tomb.Go(func() error {
 		s.awaitConfiguration(ctx)
-		s.elector.Run(ctx, shardOwner{s})
+		p, ok := s.awaitPartition(ctx)
+		if !ok {
+			return nil
+		}
+		s.partition.Store(&p)
+		s.elector.SetShards(p)
+		s.elector.Run(ctx, func(shard string) dotterhead.Owner { return newShardOwner(s, shard) })
 		return nil
 	})
 }
 
 // awaitConfiguration waits for the first configuration. Without one, the host cannot
-// schedule and must not take the shard over.
+// schedule and must not take a shard over.
 func (s *Scheduler) awaitConfiguration(ctx context.Context) {
 	const pollInterval = 50 * dotterclock.Millisecond
 	for s.configuration.Load() == nil && ctx.Err() == nil {
@@ -85,7 +99,7 @@
 	}
 }
 
-// Leave marks this host as not ready, stops its work as owner and releases the shard.
+// Leave marks this host as not ready, stops its work as owner and releases its shards.
 func (s *Scheduler) Leave() {
 	s.stopping.Store(true)
 	s.tomb.Kill(nil)
@@ -119,16 +133,41 @@
 
 // Ready reports whether callers should be sent to this host.
 func (s *Scheduler) Ready() bool {
-	return s.configuration.Load() != nil && !s.stopping.Load() && !s.jobs.StoreUnavailable()
+	return s.configuration.Load() != nil && s.partition.Load() != nil && !s.stopping.Load() && !s.jobs.StoreUnavailable()
+}
+
+// Summaries returns the summaries of the shards that this host owns, by shard.
+func (s *Scheduler) Summaries() map[string]dotterboard.Summary {
+	summaries := map[string]dotterboard.Summary{}
+	for shard, b := range s.ownedBoards() {
+		summaries[shard] = b.Summary(s.clock.Now())
+	}
+	return summaries
+}
+
+// Board implements dotterentry.Boards.
+func (s *Scheduler) Board(shard string) *dotterboard.Board {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boards[shard]
+}
+
+// ownedBoards returns the boards of the shards that this host owns.
+func (s *Scheduler) ownedBoards() map[string]*dotterboard.Board {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.boards)
 }
 
-// Summary returns the shard's summary. It returns false if this host is not the owner.
-func (s *Scheduler) Summary() (dotterboard.Summary, bool) {
-	b := s.board.Load()
+// setBoard sets the board of a shard that this host owns; nil removes it.
+func (s *Scheduler) setBoard(shard string, b *dotterboard.Board) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if b == nil {
-		return dotterboard.Summary{}, false
+		delete(s.boards, shard)
+		return
 	}
-	return b.Summary(s.clock.Now()), true
+	s.boards[shard] = b
 }
 
 // FreshAt returns the time up to which this host's configuration is known to be
@@ -143,7 +182,7 @@
 	if previous == nil || previous.document.Version != document.Version || !maps.Equal(previous.outDomains, outDomains) {
 		s.logger.Info("configuration in force", zap.Int64("Version", document.Version), zap.Any("OutDomains", outDomains))
 	}
-	if b := s.board.Load(); b != nil {
+	for _, b := range s.ownedBoards() {
 		b.Configure(document, outDomains)
 	}
 }
--- a/internal/server/dotterscheduler/settings.go
+++ b/internal/server/dotterscheduler/settings.go
@@ -1,7 +1,9 @@
 package dotterscheduler
 
 import (
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterpartition"
 )
 
 // Settings describes this host and the limits that the platform sets.
@@ -12,4 +14,21 @@
 	Weak            bool   // should own the shard only if no stronger host does
 	Board           dotterboard.Settings
 	WritesPerSecond int // limit of store writes by all hosts together; 0: none
+	MaxShardWorkers int // workers up to which one owner serves them all; 0: dotterpartition.DefaultMaxWorkers
+}
+
+func (s Settings) maxShardWorkers() int {
+	if s.MaxShardWorkers > 0 {
+		return s.MaxShardWorkers
+	}
+	return dotterpartition.DefaultMaxWorkers
+}
+
+// commitInterval returns the least time between two commits of one of the shards, so that
+// all owners together use at most half of the store's writes.
+func (s Settings) commitInterval(shards int) dotterclock.Millis {
+	if s.WritesPerSecond <= 0 {
+		return urgentCommitInterval
+	}
+	return max(urgentCommitInterval, 2*dotterclock.Second*dotterclock.Millis(shards)/dotterclock.Millis(s.WritesPerSecond))
 }
