--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -43,6 +43,7 @@
 	cancelled   map[dotterjob.ID]bool        // jobs with a stored cancellation, in any shard
 	absorbed    map[string]bool              // keys of transfers that were applied
 	peers       []*peer                      // other shards
+	kept        map[string]*keptRoom         // by service
 }
 
 // New returns an empty board for the owner with the given epoch. The previous owner may
@@ -51,7 +52,7 @@
 	return &Board{
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
-		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]bool{},
+		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]bool{}, kept: map[string]*keptRoom{},
 	}
 }
 
--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -60,6 +60,7 @@
 func (b *Board) Vacancy(now, wall dotterclock.Millis) dottervacancy.Vacancy {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.observeKeptRoom(now)
 	services := map[string]dottervacancy.Service{}
 	for _, w := range b.workersByID {
 		if w.Service == "" || !b.isOpen(now, w) {
@@ -95,6 +96,12 @@
 		}
 		services[j.queue.Service] = s
 	}
+	for name, s := range services {
+		if k, ok := b.kept[name]; ok {
+			s.Lasting = k.newSlots(now)
+			services[name] = s
+		}
+	}
 	return dottervacancy.Vacancy{Services: services, Pending: b.pending()}
 }
 
@@ -179,7 +186,7 @@
 		return
 	}
 	service := s.occurrence.job.queue.Service
-	count := min(maxHandedOver, s.waiting, max(1, to.services[service].SlotsFor(s.Size)/minFreeSlots))
+	count := min(maxHandedOver, s.waiting, max(1, min(to.services[service].Lasting, to.services[service].SlotsFor(s.Size))/minFreeSlots))
 	var tasks []*task
 	for _, t := range s.tasks {
 		if t.phase == waiting && len(tasks) < count {
@@ -218,6 +225,9 @@
 		return fraction, free >= int64(count)*s.Size.MilliCores && fraction > p.unusedFraction(s.occurrence.job.queue.Service)+minUnusedDifference
 	}
 	slots := service.SlotsFor(s.Size)
+	if s.LongRunning {
+		slots = min(slots, service.Lasting)
+	}
 	return float64(int64(slots)*s.Size.MilliCores) / capacity, slots >= count
 }
 
@@ -244,5 +254,9 @@
 		p.services[service] = v
 		return
 	}
-	p.services[service] = p.services[service].WithReserved(count, s.Size)
+	v := p.services[service].WithReserved(count, s.Size)
+	if s.LongRunning {
+		v.Lasting = max(0, v.Lasting-count)
+	}
+	p.services[service] = v
 }
--- a/internal/job/dotterboard/learned.go
+++ b/internal/job/dotterboard/learned.go
@@ -124,6 +124,17 @@
 	return nil
 }
 
+// AdoptLearned takes over the terms that the owner of another shard knows with more
+// certainty, from what its Learned has returned.
+func (b *Board) AdoptLearned(now dotterclock.Millis, stored []byte) error {
+	var known []dotterinterference.Learned
+	if err := json.Unmarshal(stored, &known); err != nil {
+		return err
+	}
+	b.learned.model.Adopt(now, known)
+	return nil
+}
+
 // slope returns the load that tasks of the image add to the victim's per whole worker of
 // processor time that they use.
 func (l loadModel) slope(now dotterclock.Millis, victim *task, image string) dotterinterference.Estimate {
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -81,12 +81,13 @@
 	blockedPerWorker           // has the step's maximum of tasks per worker
 	blockedTicket              // not admitted by the queue's policy
 	blockedRack                // outside the rack on which the gang is being placed
+	blockedKept                // the free room is kept from new long-running tasks
 	blockedLoad                // a serving task there would exceed its load limit
 	obstacleKinds              // number of obstacles
 )
 
 // obstacleNames are the names of the obstacles in logs.
-var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Load"}
+var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Load"}
 
 // obstacle returns why the worker gets no task of the step, or noObstacle. blockedLoad
 // is left to score.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -51,6 +51,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reap(now)
+	b.observeKeptRoom(now)
 	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}}
 	candidates := p.candidates()
 	if len(candidates) == 0 {
@@ -251,6 +252,10 @@
 			continue
 		}
 		w := r.best()
+		if w != nil && p.keepsRoomFrom(t, w) {
+			r.obstacles[blockedKept] = len(r.workers)
+			w = nil
+		}
 		if w == nil {
 			p.board.logWaiting(p.now, s, r.obstacles)
 			return false
@@ -289,6 +294,9 @@
 }
 
 func (p *plan) bind(t *task, w *worker) {
+	if k, ok := p.board.kept[w.Service]; ok && !t.step.Fills {
+		k.placed(p.now, t, w.free().MilliCores)
+	}
 	p.board.bind(t, w)
 	w.faults.recordPlacement(p.now)
 }
--- a/internal/job/dotterentry/keys.go
+++ b/internal/job/dotterentry/keys.go
@@ -13,6 +13,9 @@
 	HeadPrefix   = "Dotter/Head/"     // heads of the shards
 	CancelPrefix = "Dotter/Cancel/"   // cancellations of jobs in any shard
 	homePrefix   = "Dotter/Home/"     // shards of the jobs
+
+	// InterferencePrefix is the prefix of the owners' estimates of interference between images.
+	InterferencePrefix = "Dotter/Learned/"
 )
 
 // InboxPrefix returns the prefix of the shard's accepted jobs and of transfers to it.
@@ -27,7 +30,7 @@
 
 // InterferenceKey returns the key of the shard's estimates of interference between images.
 func InterferenceKey(shard string) string {
-	return "Dotter/Learned/" + shard
+	return InterferencePrefix + shard
 }
 
 // HomeKey returns the key of the job's home, whose value is the name of a shard.
--- a/internal/job/dotterreplica/replica.go
+++ b/internal/job/dotterreplica/replica.go
@@ -36,6 +36,7 @@
 	logger      *zap.Logger
 	prefix      string
 	wait        dotterclock.Millis
+	pause       dotterclock.Millis
 	sink        Sink
 	freshAt     atomic.Int64
 	unavailable bool
@@ -46,6 +47,13 @@
 	return &Replica{store: store, clock: clock, logger: logger.With(zap.String("Prefix", prefix)), prefix: prefix, wait: wait, sink: sink}
 }
 
+// WithPause makes the replica pause after each change, so that changes in quick
+// succession arrive together. It must be called before Run.
+func (r *Replica) WithPause(pause dotterclock.Millis) *Replica {
+	r.pause = pause
+	return r
+}
+
 // FreshAt returns the time up to which the replica is known to be complete, 0 if it never was.
 func (r *Replica) FreshAt() dotterclock.Millis {
 	return dotterclock.Millis(r.freshAt.Load())
@@ -109,6 +117,12 @@
 		if len(changes.Entries)+len(changes.Deleted) > 0 {
 			after = changes.Revision
 			r.sink.Change(changes)
+			if r.pause > 0 {
+				select {
+				case <-ctx.Done():
+				case <-r.clock.After(r.pause):
+				}
+			}
 		}
 	}
 }
--- a/internal/model/dottervacancy/vacancy.go
+++ b/internal/model/dottervacancy/vacancy.go
@@ -25,6 +25,7 @@
 	Waiting  int64                     `json:",omitempty"` // declared by waiting tasks that do not fill
 	Filling  int64                     `json:",omitempty"` // declared by waiting tasks that fill
 	Slots    [len(classMilliCores)]int // by size class: how many more tasks fit
+	Lasting  int                       `json:",omitempty"` // how many more long-running tasks would be started
 	Labels   []string                  `json:",omitempty"` // of any worker, sorted
 }
 
--- a/internal/placement/dotterinterference/learned.go
+++ b/internal/placement/dotterinterference/learned.go
@@ -50,3 +50,23 @@
 		t.mean, t.variance, t.updatedAt = l.Mean, l.Variance, now
 	}
 }
+
+// adoptRatio is the ratio of variances from which another Model's term replaces an own one.
+const adoptRatio = 0.8
+
+// Adopt replaces the terms that another Model, which sees other workers, knows with more
+// certainty. Estimates are replaced and never combined, since the other Model may have
+// adopted them from this one.
+func (m *Model) Adopt(now dotterclock.Millis, known []Learned) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range known {
+		if !(l.Variance > 0) || l.Mean != l.Mean {
+			continue
+		}
+		t := &m.terms[m.getOrCreate(now, key{l.Victim, l.Aggressor})]
+		if l.Variance < adoptRatio*t.varianceAt(now, m.prior) {
+			t.mean, t.variance, t.updatedAt = l.Mean, l.Variance, now
+		}
+	}
+}
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -43,6 +43,14 @@
 	// learnedSaveInterval is how often the interference model is saved with a commit. A
 	// successor without it needs about ten seconds to learn it again.
 	learnedSaveInterval = 3 * dotterclock.Second
+	// learnedShareInterval replaces learnedSaveInterval if there are several shards. It is
+	// also how often the owners read each other's models.
+	learnedShareInterval = 1500 * dotterclock.Millisecond
+	// maxCommitsPerSecond bounds the commits of all owners together.
+	maxCommitsPerSecond = 200
+	// directoryPause is the pause between two readings of changes of the directory, which
+	// takes changes in quick succession together.
+	directoryPause = 200 * dotterclock.Millisecond
 	// loadTimeout bounds the loading of the shard's state by a new owner.
 	loadTimeout = 6 * dotterclock.Second
 )
@@ -82,7 +90,7 @@
 	directory := dotterreplica.New(o.platform.Store, o.clock, o.logger, o.platform.DirectoryPrefix, watchWait,
 		o.platform.NewDirectorySink(func(workers map[string]dotterworker.Worker) {
 			b.UpdateDirectory(o.clock.Now(), o.ownWorkers(workers))
-		}))
+		})).WithPause(directoryPause)
 	inbox := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.InboxPrefix(o.shard), watchWait, inboxSink{o, b})
 	cancellations := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.CancelPrefix, watchWait, cancelSink{o, b})
 	// Own waits only for the commit loop. The other goroutines may be in a long call when
@@ -92,6 +100,7 @@
 	go func() { _ = cancellations.Run(ownerCtx) }()
 	go o.plan(ownerCtx, b, planChanges)
 	go o.advise(ownerCtx, b)
+	go o.shareLearned(ownerCtx, b)
 	go o.dispatch(ownerCtx, b, committer)
 	return o.commit(ownerCtx, b, committer, commitChanges)
 }
@@ -155,6 +164,42 @@
 	}
 }
 
+// learnedInterval returns how often the interference model is saved.
+func (o shardOwner) learnedInterval() dotterclock.Millis {
+	if len(o.elector.Shards()) > 1 {
+		return learnedShareInterval
+	}
+	return learnedSaveInterval
+}
+
+// shareLearned adopts what the owners of other shards have learned. Failures are only
+// logged, since this owner learns too.
+func (o shardOwner) shareLearned(ctx context.Context, b *dotterboard.Board) {
+	if len(o.elector.Shards()) == 1 {
+		return
+	}
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, loadTimeout.Duration())
+		entries, _, err := o.platform.Store.List(call, dotterentry.InterferencePrefix)
+		cancel()
+		for _, e := range entries {
+			if e.Key == dotterentry.InterferenceKey(o.shard) {
+				continue
+			}
+			if err := b.AdoptLearned(o.clock.Now(), e.Value); err != nil {
+				o.logger.Warn("interference model of another shard not decoded", zap.String("Key", e.Key), zap.Error(err))
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			o.logger.Debug("interference models not read", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.clock.After(learnedShareInterval):
+		}
+	}
+}
+
 // plan plans whenever the board has changed or a plan is due. The pause after each plan
 // grows with the plan's duration and leaves processor time to orders and commits.
 func (o shardOwner) plan(ctx context.Context, b *dotterboard.Board, changed <-chan struct{}) {
@@ -220,7 +265,7 @@
 		}
 		last = now
 		var extra []dotterkey.Entry
-		if now-learnedAt >= learnedSaveInterval {
+		if now-learnedAt >= o.learnedInterval() {
 			learnedAt = now
 			extra = o.learned(b)
 		}
--- a/internal/server/dotterscheduler/settings.go
+++ b/internal/server/dotterscheduler/settings.go
@@ -27,8 +27,9 @@
 // commitInterval returns the least time between two commits of one of the shards, so that
 // all owners together use at most half of the store's writes.
 func (s Settings) commitInterval(shards int) dotterclock.Millis {
-	if s.WritesPerSecond <= 0 {
-		return urgentCommitInterval
+	rate := maxCommitsPerSecond
+	if s.WritesPerSecond > 0 {
+		rate = max(1, min(rate, s.WritesPerSecond/2))
 	}
-	return max(urgentCommitInterval, 2*dotterclock.Second*dotterclock.Millis(shards)/dotterclock.Millis(s.WritesPerSecond))
+	return max(urgentCommitInterval, dotterclock.Second*dotterclock.Millis(shards)/dotterclock.Millis(rate))
 }
