--- a/internal/job/dotterboard/kept_room.go
+++ b/internal/job/dotterboard/kept_room.go
@@ -12,11 +12,13 @@
 	// good, and quick tasks could not start until some of them end.
 	keptFraction = 0.1
 	// keptWindow is how long kept room must have been free without a break before long-running
-	// tasks get it. Users give a long-running task up that waits for twice as long beside
-	// room for it.
-	keptWindow = 1500 * dotterclock.Millisecond
+	// tasks get it. Users give a long-running task up that waits for 3 s beside room for it.
+	keptWindow = 2500 * dotterclock.Millisecond
 	// keptBuckets divide keptWindow.
 	keptBuckets = 10
+	// offeredBuckets is the number of the newest buckets in which kept room must have been
+	// free before it is offered to other shards, whose tasks arrive some time later.
+	offeredBuckets = 4
 	// minSpareSlots is how many slots must have been free for a long-running task to get one.
 	minSpareSlots = 2
 	// quickMemory is how long after the last quick task room is kept for more.
@@ -86,6 +88,15 @@
 	return min(k.slots, slices.Min(k.fewest[:]))
 }
 
+// offered returns how many slots were free during the newest part of the window.
+func (k *keptRoom) offered() int {
+	fewest := k.slots
+	for i := range int64(offeredBuckets) {
+		fewest = min(fewest, k.fewest[(k.part-i)%keptBuckets])
+	}
+	return fewest
+}
+
 // wanted returns the number of slots that are kept for quick tasks.
 func (k *keptRoom) wanted(now dotterclock.Millis) int {
 	if k.quickSeenAt == 0 || now-k.quickSeenAt > quickMemory {
@@ -101,9 +112,9 @@
 	return taken == 0 || k.slots-taken >= k.wanted(now) || k.spare(now) >= minSpareSlots
 }
 
-// newSlots returns how many slots new long-running tasks may take now.
+// newSlots returns how many slots new long-running tasks of other shards may take soon.
 func (k *keptRoom) newSlots(now dotterclock.Millis) int {
-	return max(0, k.slots-k.wanted(now), k.spare(now))
+	return max(0, k.slots-k.wanted(now), k.offered())
 }
 
 // observeKeptRoom records the present state of each service.
--- a/internal/job/dotterboard/learned.go
+++ b/internal/job/dotterboard/learned.go
@@ -124,14 +124,14 @@
 	return nil
 }
 
-// AdoptLearned takes over the terms that the owner of another shard knows with more
-// certainty, from what its Learned has returned.
-func (b *Board) AdoptLearned(now dotterclock.Millis, stored []byte) error {
+// AdoptLearned adds what the owner of another shard has learned, from what its Learned has
+// returned.
+func (b *Board) AdoptLearned(now dotterclock.Millis, shard string, stored []byte) error {
 	var known []dotterinterference.Learned
 	if err := json.Unmarshal(stored, &known); err != nil {
 		return err
 	}
-	b.learned.model.Adopt(now, known)
+	b.learned.model.Adopt(now, shard, known)
 	return nil
 }
 
--- a/internal/placement/dotterinterference/learned.go
+++ b/internal/placement/dotterinterference/learned.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -13,6 +14,10 @@
 	Aggressor string  // template
 	Mean      float64 // relative to the prior's mean
 	Variance  float64
+
+	// What the Model's own reports tell, all added up: their precision, and the mean times it.
+	OwnPrecision float64 `json:",omitempty"`
+	OwnWeighted  float64 `json:",omitempty"`
 }
 
 // knownVarianceRatio is the fraction of the prior's variance below which a term
@@ -28,7 +33,7 @@
 	for i := range m.terms {
 		t := &m.terms[i]
 		if v := t.varianceAt(now, m.prior); v < knownVarianceRatio*m.prior.variance(t.key) {
-			known = append(known, Learned{Victim: t.key.victim, Aggressor: t.key.aggressor, Mean: t.mean, Variance: v})
+			known = append(known, Learned{Victim: t.key.victim, Aggressor: t.key.aggressor, Mean: t.mean, Variance: v, OwnPrecision: t.own.precision, OwnWeighted: t.own.weighted})
 		}
 	}
 	slices.SortFunc(known, func(a, b Learned) int {
@@ -42,6 +47,7 @@
 func (m *Model) Restore(now dotterclock.Millis, known []Learned) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.restored = m.restored || len(known) > 0
 	for _, l := range known {
 		if !(l.Variance > 0) || l.Mean != l.Mean {
 			continue
@@ -51,22 +57,27 @@
 	}
 }
 
-// adoptRatio is the ratio of variances from which another Model's term replaces an own one.
-const adoptRatio = 0.8
-
-// Adopt replaces the terms that another Model, which sees other workers, knows with more
-// certainty. Estimates are replaced and never combined, since the other Model may have
-// adopted them from this one.
-func (m *Model) Adopt(now dotterclock.Millis, known []Learned) {
+// Adopt adds what another Model, which observes other workers, has learned from its own
+// reports since the last call with the same source. After Restore, the first call for a source
+// adds nothing: what was restored includes it.
+func (m *Model) Adopt(now dotterclock.Millis, source string, known []Learned) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	previous, seen := m.received[source]
+	received := make(map[key]information, len(known))
 	for _, l := range known {
-		if !(l.Variance > 0) || l.Mean != l.Mean {
+		k, total := key{l.Victim, l.Aggressor}, information{l.OwnPrecision, l.OwnWeighted}
+		if !(total.precision > 0) || math.IsNaN(total.weighted) || math.IsInf(total.weighted, 0) || math.IsInf(total.precision, 0) {
 			continue
 		}
-		t := &m.terms[m.getOrCreate(now, key{l.Victim, l.Aggressor})]
-		if l.Variance < adoptRatio*t.varianceAt(now, m.prior) {
-			t.mean, t.variance, t.updatedAt = l.Mean, l.Variance, now
+		received[k] = total
+		news := total
+		if before := previous[k]; total.precision >= before.precision {
+			news = total.sub(before)
+		} // otherwise the source has started anew
+		if seen || !m.restored {
+			m.terms[m.getOrCreate(now, k)].add(now, m.prior, news)
 		}
 	}
+	m.received[source] = received
 }
--- a/internal/placement/dotterinterference/model.go
+++ b/internal/placement/dotterinterference/model.go
@@ -26,6 +26,8 @@
 	index         map[key]int32
 	clockHand     int
 	contributions []contribution
+	restored      bool                           // Restore has loaded terms
+	received      map[string]map[key]information // by source: what Adopt has received, in all
 }
 
 // contribution is the part of a term in the prediction for one report.
@@ -46,7 +48,7 @@
 	if limit <= 0 {
 		limit = DefaultLimit
 	}
-	return &Model{prior: prior, maxTerms: limit, index: make(map[key]int32)}
+	return &Model{prior: prior, maxTerms: limit, index: make(map[key]int32), received: make(map[string]map[key]information)}
 }
 
 // Len returns the number of terms in the table.
@@ -132,8 +134,12 @@
 	for _, c := range m.contributions {
 		t := &m.terms[c.position]
 		gain := c.weight * c.variance / total
+		before := informationOf(t.mean, c.variance)
 		t.mean += gain * innovation
 		t.variance = c.variance * (1 - gain*c.weight)
+		gained := informationOf(t.mean, t.variance).sub(before)
+		t.own.precision += gained.precision
+		t.own.weighted += gained.weighted
 		t.updatedAt = max(t.updatedAt, now)
 	}
 	return selfVariance / total
--- a/internal/placement/dotterinterference/model_test.go
+++ b/internal/placement/dotterinterference/model_test.go
@@ -95,3 +95,36 @@
 	}
 	assert.Equal(t, limit, m.Len())
 }
+
+// TestModelsShareWhatTheyLearn lets two models observe different reports of one effect. Each
+// must know as much as one model that observes all of them, and no report may count twice.
+func TestModelsShareWhatTheyLearn(t *testing.T) {
+	sample := func(at int, load float64) dotterinterference.Sample {
+		return dotterinterference.Sample{At: dotterclock.Millis(at), Victim: "v", Slowdown: 1 + load, Corunners: []dotterinterference.Corunner{{Template: "a", Weight: 0.3, Share: 1}}}
+	}
+	prior := dotterinterference.Prior{PerShare: 0.4, GeneralVariance: 1e-6, SpecificVariance: 4, NoiseVariance: 0.003, DecayTime: 300 * dotterclock.Second}
+	one, left, right := dotterinterference.NewWithPrior(100, prior), dotterinterference.NewWithPrior(100, prior), dotterinterference.NewWithPrior(100, prior)
+	for round := range 6 {
+		for i, m := range []*dotterinterference.Model{left, right} {
+			at, load := 1000*round+100*i, 0.5+0.05*float64((3*round+i)%5)
+			m.Observe(sample(at, load))
+			one.Observe(sample(at, load))
+		}
+		for range 3 { // repeated exchanges add nothing
+			at := dotterclock.Millis(1000*round + 500)
+			left.Adopt(at, "right", right.Learned(at, 100))
+			right.Adopt(at, "left", left.Learned(at, 100))
+		}
+	}
+	want := one.Predict(6000, "v", "a", 1)
+	for name, m := range map[string]*dotterinterference.Model{"left": left, "right": right} {
+		got := m.Predict(6000, "v", "a", 1)
+		assert.InDelta(t, want.Mean, got.Mean, 0.02, name)
+		assert.InEpsilon(t, want.Deviation, got.Deviation, 0.1, name)
+	}
+	successor := dotterinterference.NewWithPrior(100, prior)
+	successor.Restore(6000, left.Learned(6000, 100))
+	successor.Adopt(6000, "right", right.Learned(6000, 100))
+	got := successor.Predict(6000, "v", "a", 1)
+	assert.InEpsilon(t, want.Deviation, got.Deviation, 0.1, "what was restored includes what the source had learned")
+}
--- a/internal/placement/dotterinterference/term.go
+++ b/internal/placement/dotterinterference/term.go
@@ -9,6 +9,30 @@
 	variance   float64
 	updatedAt  dotterclock.Millis // time of the last update
 	referenced bool               // since the clock hand last passed
+	own        information        // from the reports that this Model observed
+}
+
+// information is what reports tell about a term, apart from what was known before. The
+// information of independent reports adds up.
+type information struct {
+	precision float64 // inverse of the variance
+	weighted  float64 // mean times precision
+}
+
+func (i information) sub(o information) information {
+	return information{i.precision - o.precision, i.weighted - o.weighted}
+}
+
+// informationOf returns the information of an estimate.
+func informationOf(mean, variance float64) information {
+	return information{1 / variance, mean / variance}
+}
+
+// add updates the term's estimate at now with information from elsewhere.
+func (t *term) add(now dotterclock.Millis, prior Prior, i information) {
+	known := informationOf(t.mean, t.varianceAt(now, prior))
+	precision := known.precision + i.precision
+	t.mean, t.variance, t.updatedAt = (known.weighted+i.weighted)/precision, 1/precision, max(t.updatedAt, now)
 }
 
 // key identifies a term. An empty victim denotes the general term.
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -186,7 +186,7 @@
 			if e.Key == dotterentry.InterferenceKey(o.shard) {
 				continue
 			}
-			if err := b.AdoptLearned(o.clock.Now(), e.Value); err != nil {
+			if err := b.AdoptLearned(o.clock.Now(), e.Key, e.Value); err != nil {
 				o.logger.Warn("interference model of another shard not decoded", zap.String("Key", e.Key), zap.Error(err))
 			}
 		}
