--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -28,9 +28,12 @@
 	maxHandedOver = 8
 	// maxOutgoing bounds the transfers of one job that wait to be stored.
 	maxOutgoing = 4
+	// lastSlotDelay is how long a long-running task waits before it may get the last slot.
+	lastSlotDelay = 2 * dotterclock.Second
 	// minUnusedDifference is how much larger the unused fraction of another shard's
-	// processor time must be before it gets a job of filling tasks.
-	minUnusedDifference = 0.1
+	// processor time must be before it gets a job of filling tasks. Below it, moving a job
+	// evens out less than what has changed since the other shard published it.
+	minUnusedDifference = 0.04
 )
 
 // Peer is another shard and what its owner has published.
@@ -127,20 +130,23 @@
 	}
 }
 
-// fitsOnlyElsewhere hands the step's job over at once if only some of its waiting tasks fit
-// here and all of them in another shard; it reports whether it did. Once some of them run
-// here, the job cannot be handed over before they have ended.
-func (p *plan) fitsOnlyElsewhere(s *step, r *ranking) bool {
+// fitsBetterElsewhere hands the step's job over at once if another shard suits it better; it
+// reports whether it did. Once some of its tasks run here, the job cannot be handed over
+// before they have ended. A job of filling tasks goes where more processor time is unused, any other
+// job if only some of the waiting tasks fit here and all of them there.
+func (p *plan) fitsBetterElsewhere(s *step, r *ranking) bool {
 	j := s.occurrence.job
-	if len(p.board.peers) == 0 || s.Fills || s.LongRunning || j.runs > 0 || j.away > 0 || j.visiting || j.moves > 0 {
+	if len(p.board.peers) == 0 || s.LongRunning || j.runs > 0 || j.away > 0 || j.visiting || j.moves > 0 {
 		return false
 	}
-	slots := int64(0)
-	for _, w := range r.workers {
-		slots += w.worker.free().MilliCores / max(1, s.Size.MilliCores)
-	}
-	if slots == 0 || slots >= int64(s.waiting) {
-		return false
+	if !s.Fills {
+		slots := int64(0)
+		for _, w := range r.workers {
+			slots += w.worker.free().MilliCores / max(1, s.Size.MilliCores)
+		}
+		if slots == 0 || slots >= int64(s.waiting) {
+			return false
+		}
 	}
 	to := p.peerFor(s, s.waiting, false)
 	if to == nil {
@@ -181,7 +187,11 @@
 	if !abandoned && p.now-s.waitingSince < longRunningHandoverDelay || s.Gang {
 		return
 	}
-	to := p.peerFor(s, minFreeSlots, abandoned)
+	need := minFreeSlots
+	if p.now-s.waitingSince > lastSlotDelay {
+		need = 1
+	}
+	to := p.peerFor(s, need, abandoned)
 	if to == nil {
 		return
 	}
@@ -215,14 +225,15 @@
 	return best
 }
 
-// roomAt returns the fraction of a service's processor time in another shard that the step
-// could have, and whether count of its tasks fit.
+// roomAt returns the fraction of a service's processor time in another shard that is left
+// for filling tasks after count of the step's were placed, or that the step could have if
+// it does not fill; and whether the count of tasks fits.
 func (p *plan) roomAt(service dottervacancy.Service, s *step, count int) (fraction float64, enough bool) {
 	capacity := float64(service.Capacity)
 	if s.Fills {
-		free := service.Unused - service.Filling
-		fraction = float64(free) / capacity
-		return fraction, free >= int64(count)*s.Size.MilliCores && fraction > p.unusedFraction(s.occurrence.job.queue.Service)+minUnusedDifference
+		left := service.Unused - service.Filling - int64(count)*s.Size.MilliCores
+		fraction = float64(left) / capacity
+		return fraction, left >= 0 && fraction > p.unusedFraction(s.occurrence.job.queue.Service)+minUnusedDifference
 	}
 	slots := service.SlotsFor(s.Size)
 	if s.LongRunning {
@@ -231,7 +242,8 @@
 	return float64(int64(slots)*s.Size.MilliCores) / capacity, slots >= count
 }
 
-// unusedFraction returns the unused fraction of the service's processor time in this shard.
+// unusedFraction returns the unused fraction of the service's processor time in this shard,
+// less what waiting filling tasks declare.
 func (p *plan) unusedFraction(service string) float64 {
 	if fraction, ok := p.unused[service]; ok {
 		return fraction
@@ -242,10 +254,22 @@
 			unused, capacity = unused+max(0, l.unusedCPU()), capacity+w.Capacity.MilliCores
 		}
 	}
+	unused -= p.waitingFilling(service)
 	p.unused[service] = float64(unused) / float64(max(1, capacity))
 	return p.unused[service]
 }
 
+// waitingFilling returns the processor time that waiting filling tasks of the service declare.
+func (p *plan) waitingFilling(service string) int64 {
+	sum := int64(0)
+	for _, c := range p.all {
+		if c.step.Fills && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
+			sum += int64(c.step.waiting) * c.step.Size.MilliCores
+		}
+	}
+	return sum
+}
+
 // reserve reduces the room of the peer by count tasks of the step.
 func (p *peer) reserve(service string, s *step, count int) {
 	if s.Fills {
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -15,7 +15,8 @@
 	wall    dotterclock.Millis   // time of day
 	workers map[string][]*worker // by service
 	unused  map[string]float64   // by service: see unusedFraction
-	rack    string               // on which a rack-sensitive gang is being placed; empty: any
+	all     []candidate
+	rack    string // on which a rack-sensitive gang is being placed; empty: any
 }
 
 // candidate is a ready step with tasks to place.
@@ -54,6 +55,7 @@
 	b.observeKeptRoom(now)
 	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}}
 	candidates := p.candidates()
+	p.all = candidates
 	if len(candidates) == 0 {
 		return now + maxListingAge
 	}
@@ -244,7 +246,7 @@
 		return p.placeGang(s)
 	}
 	r := p.rank(s)
-	if p.fitsOnlyElsewhere(s, r) {
+	if p.fitsBetterElsewhere(s, r) {
 		return true
 	}
 	for _, t := range s.tasks {
