Even filling and long-running jobs out over the shards

Cause: entry hosts choose homes from what is up to 1.5 s old, and all at once when the traffic begins, so that some shards have a sixth more serving tasks than others and no worker free of them; filling tasks then disturb serving ones for longer.

Change: an owner hands a job of which nothing has started over at once, if another shard has 4% more of its processor time unused (filling tasks) or 4% less reserved (long-running ones).

--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -34,6 +34,8 @@
 	// processor time must be before it gets a job of filling tasks. Below it, moving a job
 	// evens out less than what has changed since the other shard published it.
 	minUnusedDifference = 0.04
+	// minReservedDifference is the same for the reserved fraction and long-running tasks.
+	minReservedDifference = 0.04
 )
 
 // Peer is another shard and what its owner has published.
@@ -132,13 +134,23 @@
 
 // fitsBetterElsewhere hands the step's job over at once if another shard suits it better; it
 // reports whether it did. Once some of its tasks run here, the job cannot be handed over
-// before they have ended. A job of filling tasks goes where more processor time is unused, any other
-// job if only some of the waiting tasks fit here and all of them there.
+// before they have ended. A job of filling tasks goes where more processor time is unused, one
+// of long-running tasks where less is reserved, and any other job if only some of the
+// waiting tasks fit here and all of them there.
 func (p *plan) fitsBetterElsewhere(s *step, r *ranking) bool {
 	j := s.occurrence.job
-	if len(p.board.peers) == 0 || s.LongRunning || j.runs > 0 || j.away > 0 || j.visiting || j.moves > 0 {
+	if len(p.board.peers) == 0 || j.runs > 0 || j.away > 0 || j.visiting || j.moves > 0 {
 		return false
 	}
+	if s.LongRunning {
+		to := p.emptierPeer(s)
+		if to == nil {
+			return false
+		}
+		to.reserve(j.queue.Service, s, s.waiting)
+		p.board.handOverJob(j, to.shard)
+		return true
+	}
 	if !s.Fills {
 		slots := int64(0)
 		for _, w := range r.workers {
@@ -157,6 +169,43 @@
 	return true
 }
 
+// emptierPeer returns the shard in which the least would be reserved after all tasks of the
+// step were placed there, if that is minReservedDifference less than here.
+func (p *plan) emptierPeer(s *step) *peer {
+	name := s.occurrence.job.queue.Service
+	var best *peer
+	lowest := p.reservedFraction(name) - minReservedDifference
+	for _, candidate := range p.board.peers {
+		service := candidate.services[name]
+		if service.Capacity == 0 || s.Label != "" && !slices.Contains(service.Labels, s.Label) {
+			continue
+		}
+		wanted := int64(s.waiting) * s.Size.MilliCores
+		reserved := float64(service.Reserved+service.Waiting+wanted) / float64(service.Capacity)
+		if reserved < lowest && min(service.Lasting, service.SlotsFor(s.Size)) >= s.waiting {
+			best, lowest = candidate, reserved
+		}
+	}
+	return best
+}
+
+// reservedFraction returns the fraction of the service's processor time in this shard that is
+// reserved or declared by waiting tasks.
+func (p *plan) reservedFraction(service string) float64 {
+	reserved, capacity := int64(0), int64(0)
+	for _, w := range p.workers[service] {
+		if p.load(w).open {
+			reserved, capacity = reserved+w.reserved.MilliCores, capacity+w.Capacity.MilliCores
+		}
+	}
+	for _, c := range p.all {
+		if !c.step.Fills && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
+			reserved += int64(c.step.waiting) * c.step.Size.MilliCores
+		}
+	}
+	return float64(reserved) / float64(max(1, capacity))
+}
+
 // hasOpenWorker reports whether any worker of the service accepts starts.
 func (p *plan) hasOpenWorker(service string) bool {
 	return slices.ContainsFunc(p.workers[service], func(w *worker) bool { return p.load(w).open })
