--- a/internal/entry/dotterqueue/queue.go
+++ b/internal/entry/dotterqueue/queue.go
@@ -28,7 +28,7 @@
 		heap.Push(&q.items, item)
 		return nil
 	}
-	last := q.last()
+	last := q.Last()
 	if last == nil || !item.before(last) {
 		return item
 	}
@@ -55,8 +55,9 @@
 	return true
 }
 
-// last returns the item to serve last, or nil. It scans all items.
-func (q *Queue[T]) last() *Item[T] {
+// Last returns the item to serve last without removing it, or nil if the queue is empty.
+// It scans all items.
+func (q *Queue[T]) Last() *Item[T] {
 	var last *Item[T]
 	for _, i := range q.items {
 		if last == nil || last.before(i) {
--- a/internal/entry/dotterservice/refusal.go
+++ b/internal/entry/dotterservice/refusal.go
@@ -19,10 +19,10 @@
 }
 
 // fullLocked returns the refusal of a request when the queue is full, or nil if the
-// request precedes all queued ones by rank and so displaces the last.
+// request precedes the last queued one by rank and so displaces it.
 func (s *Service) fullLocked(request SlotRequest) *dotterrequest.Refusal {
-	first := s.queue.Peek()
-	if first != nil && request.Rank < first.Rank {
+	last := s.queue.Last()
+	if last != nil && request.Rank < last.Rank {
 		return nil
 	}
 	return dotterrequest.NotRun(dotterrequest.ReasonQueueFull, "the queue is full", s.retryAfterLocked())
--- a/internal/entry/dotterservice/service_test.go
+++ b/internal/entry/dotterservice/service_test.go
@@ -128,25 +128,41 @@
 }
 
 func TestLowerRankDisplacesTheLastInAFullQueue(t *testing.T) {
-	s, _, _ := newTestService(1, 1, Settings{QueueItems: 1, QueueWaitMillis: 10_000})
-	grants := acquireSlots(t, s, 1)
-	displaced := make(chan error, 1)
-	go func() {
-		_, err := s.Acquire(context.Background(), SlotRequest{Rank: 5, Deadline: 90_000})
-		displaced <- err
-	}()
-	require.Eventually(t, func() bool { return s.Waiting() == 1 }, waitTimeout, pollInterval)
-	done := make(chan error, 1)
-	go func() {
-		g, err := s.Acquire(context.Background(), SlotRequest{Rank: 1, Deadline: 90_000})
-		if err == nil {
-			g.Release()
-		}
-		done <- err
-	}()
-	assert.Equal(t, dotterrequest.ReasonDisplaced, reasonOf(t, <-displaced))
-	grants[0].Release()
-	require.NoError(t, <-done)
+	tests := map[string]struct{ queued []int }{ // ranks
+		"the only one":           {queued: []int{5}},
+		"behind one that stays":  {queued: []int{0, 5}},
+		"behind several of them": {queued: []int{0, 1, 5}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _, _ := newTestService(1, 1, Settings{QueueItems: len(tc.queued), QueueWaitMillis: 10_000})
+			grants := acquireSlots(t, s, 1)
+			displaced := make(chan error, 1)
+			for i, rank := range tc.queued {
+				go func() {
+					g, err := s.Acquire(context.Background(), SlotRequest{Rank: rank, Deadline: 90_000})
+					if rank == 5 {
+						displaced <- err
+					}
+					if err == nil {
+						g.Release()
+					}
+				}()
+				require.Eventually(t, func() bool { return s.Waiting() == i+1 }, waitTimeout, pollInterval)
+			}
+			done := make(chan error, 1)
+			go func() {
+				g, err := s.Acquire(context.Background(), SlotRequest{Rank: 1, Deadline: 90_000})
+				if err == nil {
+					g.Release()
+				}
+				done <- err
+			}()
+			assert.Equal(t, dotterrequest.ReasonDisplaced, reasonOf(t, <-displaced))
+			grants[0].Release()
+			require.NoError(t, <-done)
+		})
+	}
 }
 
 func TestWaitersAreRefusedOnTimeoutAndCancellation(t *testing.T) {
--- a/internal/tool/dotterload/policies.go
+++ b/internal/tool/dotterload/policies.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"slices"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -26,8 +28,12 @@
 	if c.Millis < 100 || c.Millis > 600_000 {
 		return eris.Wrap(errOutOfRange, "--millis")
 	}
+	cases, err := c.selectedCases()
+	if err != nil {
+		return err
+	}
 	options := dottercomparison.Options{Millis: dotterclock.Millis(c.Millis), Seed: c.Seed}
-	results, err := dottercomparison.Run(c.program.ctx, options, c.selectedCases(), c.program.out)
+	results, err := dottercomparison.Run(c.program.ctx, options, cases, c.program.out)
 	if err != nil || c.Report == "" {
 		return err
 	}
@@ -38,12 +44,19 @@
 	return os.WriteFile(c.Report, append(data, '\n'), 0o644)
 }
 
-func (c *policiesCommand) selectedCases() []dottercomparison.Case {
+// selectedCases returns the cases to run, or a *flags.Error that names an unknown one.
+func (c *policiesCommand) selectedCases() ([]dottercomparison.Case, error) {
 	all := dottercomparison.Cases()
 	if len(c.Cases) == 0 {
-		return all
+		return all, nil
+	}
+	var selected []dottercomparison.Case
+	for _, name := range c.Cases {
+		i := slices.IndexFunc(all, func(k dottercomparison.Case) bool { return k.Name == name })
+		if i < 0 {
+			return nil, &flags.Error{Type: flags.ErrInvalidChoice, Message: fmt.Sprintf("--case %q: no such case", name)}
+		}
+		selected = append(selected, all[i])
 	}
-	return slices.DeleteFunc(all, func(k dottercomparison.Case) bool {
-		return !slices.Contains(c.Cases, k.Name)
-	})
+	return selected, nil
 }
