Answer counts of waiting jobs only while they are known

The head of an owner that has not loaded its shard yet counted as 0 as well.

Change: a count is used for 1.4 s after the head was seen to change, and only if the owner has published one; otherwise the owner is asked, and if it does not answer, the call is 503.

Result: TestPendingIsNotAnsweredFromOldCounts fails without the change (waited 20 s for ErrUnavailable) and passes with it.

--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -107,7 +107,7 @@
 			services[name] = s
 		}
 	}
-	return dottervacancy.Vacancy{Services: services, Pending: b.pending()}
+	return dottervacancy.Vacancy{Published: true, Services: services, Pending: b.pending()}
 }
 
 // handOver hands tasks that found no worker over to shards that have room: whole jobs of
--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -41,8 +41,10 @@
 	ownerCallTimeout = 500 * dotterclock.Millisecond
 	// retryDelay is the delay before a call to the store is retried.
 	retryDelay = 50 * dotterclock.Millisecond
-	// maxPendingAge is how old counts of pending jobs may be that were read with the heads.
-	maxPendingAge = 1500 * dotterclock.Millisecond
+	// maxPendingAge is how long ago a head may have been seen to change whose counts of pending
+	// jobs are used. Callers may get counts that are two seconds old, and a head is half a
+	// second old when it is seen.
+	maxPendingAge = 1400 * dotterclock.Millisecond
 	// storeUnavailableTimeout is how long the store may give no answer before it counts as
 	// unavailable and is not called: twice the wait of the watch that every host keeps open.
 	storeUnavailableTimeout = 2200 * dotterclock.Millisecond
@@ -329,25 +331,26 @@
 }
 
 // Pending returns the number of jobs of the queue that have no started task. Owners publish
-// it with their heads; one that has not done so recently is asked.
+// it with their heads; one whose head this host has not seen change recently is asked. It is
+// ErrUnavailable if any owner neither publishes nor answers, since an old count may be far
+// from the present one.
 func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
 	shards := s.elector.Shards()
-	fresh := s.clock.Now()-s.elector.ReadAt() < maxPendingAge
-	sum, known := 0, false
+	if len(shards) == 0 {
+		return 0, ErrUnavailable
+	}
+	sum := 0
 	for _, shard := range shards {
 		owner, ok := s.elector.Owner(shard)
 		counts := owner.Vacancy.Pending
-		if !fresh || !s.elector.Live(shard) {
+		if !ok || !owner.Vacancy.Published || s.clock.Now()-s.elector.SeenAt(shard) > maxPendingAge {
 			var reply pendingReply
-			if err := s.callOwner(ctx, shard, methodPending, shard, &reply); err == nil && reply.Known {
-				counts, ok = reply.Pending, true
+			if err := s.callOwner(ctx, shard, methodPending, shard, &reply); err != nil || !reply.Known {
+				return 0, ErrUnavailable
 			}
+			counts = reply.Pending
 		}
 		sum += counts[queue]
-		known = known || ok
-	}
-	if !known {
-		return 0, ErrUnavailable
 	}
 	return sum, nil
 }
--- a/internal/job/dotterhead/elector.go
+++ b/internal/job/dotterhead/elector.go
@@ -113,6 +113,16 @@
 	return ok && h.known && !h.head.Released() && e.clock.Now()-h.liveAt < e.normalPollInterval()+liveTimeout
 }
 
+// SeenAt returns when this host last saw that the shard's owner had committed.
+func (e *Elector) SeenAt(shard string) dotterclock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h, ok := e.heads[shard]; ok {
+		return h.liveAt
+	}
+	return 0
+}
+
 // Owning reports whether this host owns the shard.
 func (e *Elector) Owning(shard string) bool {
 	e.mu.Lock()
--- a/internal/model/dottervacancy/vacancy.go
+++ b/internal/model/dottervacancy/vacancy.go
@@ -12,8 +12,9 @@
 
 // Vacancy describes a shard.
 type Vacancy struct {
-	Services map[string]Service `json:",omitempty"`
-	Pending  map[string]int     `json:",omitempty"` // by queue: jobs of which no task has started
+	Published bool               `json:",omitempty"` // false in the head of an owner that has not loaded its shard yet
+	Services  map[string]Service `json:",omitempty"`
+	Pending   map[string]int     `json:",omitempty"` // by queue: jobs of which no task has started
 }
 
 // Service describes the workers of a service that accept starts. Processor time is in
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -286,7 +286,7 @@
 // no room, because nobody has a choice.
 func (o shardOwner) vacancy(now dotterclock.Millis, b *dotterboard.Board) dottervacancy.Vacancy {
 	if len(o.elector.Shards()) == 1 {
-		return dottervacancy.Vacancy{Pending: b.Pending()}
+		return dottervacancy.Vacancy{Published: true, Pending: b.Pending()}
 	}
 	return b.Vacancy(now, wallTime())
 }
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -391,3 +391,24 @@
 	assert.ErrorIs(t, err, dotterentry.ErrUnavailable)
 	assert.EqualValues(t, 1, c.hosts["b1"].Summaries()["all"].Excluded)
 }
+
+// TestPendingIsNotAnsweredFromOldCounts guards against a host that is cut off from the store
+// and the owner and goes on to report the last count that it has read.
+func TestPendingIsNotAnsweredFromOldCounts(t *testing.T) {
+	c := newCluster(t, 1, "a1")
+	c.await("an owner", func() bool { return c.owner() != "" })
+	c.start("b1")
+	c.await("the other host", func() bool { return c.hosts["b1"].Ready() })
+	tooLarge := step(1, 100)
+	tooLarge.Size.MilliCores = 1_000_000
+	c.submit("b1", 1, tooLarge)
+	pending := func() (int, error) { return c.hosts["b1"].Jobs().Pending(t.Context(), testQueue) }
+	c.await("one job waits", func() bool { n, err := pending(); return err == nil && n == 1 })
+	c.store.SetDown(true)
+	c.hosts["a1"].Leave()
+	c.hosts["a1"].Stop()
+	delete(c.hosts, "a1")
+	c.await("the count is no longer known", func() bool { _, err := pending(); return errors.Is(err, dotterentry.ErrUnavailable) })
+	c.store.SetDown(false)
+	c.await("one job waits at the new owner", func() bool { n, err := pending(); return err == nil && n == 1 })
+}
