--- a/internal/job/dotterboard/federation_test.go
+++ b/internal/job/dotterboard/federation_test.go
@@ -160,9 +160,7 @@
 // store stores the changes of a batch that concern other keys than progress records.
 func (f *federation) store(s *shard, batch *Batch) {
 	f.commits++
-	for _, j := range batch.Jobs {
-		s.accepted = append(s.accepted, j)
-	}
+	s.accepted = append(s.accepted, batch.Jobs...)
 	for i, t := range batch.Transfers {
 		f.inbox[t.To][fmt.Sprintf("%s/%s.%d.%d", t.Job.ID, s.name, f.commits, i)] = *t
 		if t.Home {
