--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -34,7 +34,7 @@
 		r.Tasks = append(r.Tasks, TaskRecord{Index: t.index, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint})
 		t.setAway()
 	}
-	j.begun = true // Absorb counts it as begun, since the receiver does not report when it starts
+	j.begun = true // the receiver does not report when the tasks start
 	if j.visiting && j.runs == 0 && !j.hasTasks() {
 		b.leave(j)
 	}
