--- a/internal/job/dotterboard/kept_room.go
+++ b/internal/job/dotterboard/kept_room.go
@@ -29,8 +29,8 @@
 
 // keptRoom follows the free room of a service, counted in slots of the size of a quick task,
 // to tell how much of it quick tasks leave unused. Slots that they have used within
-// keptWindow stay free for them; the others are given back. Crumbs that are smaller than a
-// quick task are no slots, so long-running tasks may take them.
+// keptWindow stay free for them; the others are given back. Free room on a worker that
+// is smaller than a quick task is no slot, so long-running tasks may take it.
 type keptRoom struct {
 	since    dotterclock.Millis // of the first observation
 	capacity int64              // processor time of the open workers, in thousandths of a core
--- a/internal/placement/dotterinterference/learned.go
+++ b/internal/placement/dotterinterference/learned.go
@@ -71,12 +71,12 @@
 			continue
 		}
 		received[k] = total
-		news := total
+		added := total
 		if before := previous[k]; total.precision >= before.precision {
-			news = total.sub(before)
+			added = total.sub(before)
 		} // otherwise the source has started anew
 		if seen || !m.restored {
-			m.terms[m.getOrCreate(now, k)].add(now, m.prior, news)
+			m.terms[m.getOrCreate(now, k)].add(now, m.prior, added)
 		}
 	}
 	m.received[source] = received
--- a/internal/server/dotterscheduler/partition.go
+++ b/internal/server/dotterscheduler/partition.go
@@ -42,7 +42,7 @@
 		}
 		mayCreate := errors.Is(err, dotterelusher.ErrStoreNotFound) && (!s.settings.Weak || s.clock.Now()-startedAt > weakPartitionDelay)
 		if !errors.Is(err, dotterelusher.ErrStoreNotFound) && ctx.Err() == nil {
-			s.logger.Warn("partition not read", zap.Error(err))
+			s.logger.Warn("partition not read", zap.String("Key", dotterentry.PartitionKey), zap.Error(err))
 		}
 		if mayCreate {
 			workers, err := s.listWorkers(ctx)
@@ -95,7 +95,7 @@
 	p := dotterpartition.New(workers, s.settings.maxShardWorkers())
 	value, err := json.Marshal(p)
 	if err != nil {
-		s.logger.Error("partition not encoded", zap.Error(err))
+		s.logger.Error("partition not encoded", zap.Int("Shards", len(p.Shards)), zap.Error(err))
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, loadTimeout.Duration())
--- a/internal/server/dotterscheduler/settings.go
+++ b/internal/server/dotterscheduler/settings.go
@@ -11,7 +11,7 @@
 	Host            string
 	FailureDomain   string
 	LinkAddress     string // IP:port that accepts links from other entry hosts
-	Weak            bool   // should own the shard only if no stronger host does
+	Weak            bool   // should own a shard only if no stronger host of its failure domain does
 	Board           dotterboard.Settings
 	WritesPerSecond int // limit of store writes by all hosts together; 0: none
 	MaxShardWorkers int // workers up to which one owner serves them all; 0: dotterpartition.DefaultMaxWorkers
