--- a/internal/cluster/dotterrevision/editor.go
+++ b/internal/cluster/dotterrevision/editor.go
@@ -21,6 +21,9 @@
 	ErrEditInvalid = eris.New("configuration: the change is not valid, nothing was changed")
 	// ErrEditUnavailable means that the edit timed out and nothing was changed.
 	ErrEditUnavailable = eris.New("configuration: the store is unavailable, nothing was changed")
+	// ErrDocumentUnreadable means that the stored document cannot be decoded, so that no
+	// change can be based on it. Nothing was changed.
+	ErrDocumentUnreadable = eris.New("configuration: the stored document can't be decoded, nothing was changed")
 	// ErrEditUnknown means that the change may have been made. Repeating the edit
 	// with the same change id is safe and determines the outcome.
 	ErrEditUnknown = eris.New("configuration: no answer, the change may have been made")
@@ -69,7 +72,7 @@
 func (e *Editor) tryEdit(ctx context.Context, edit Edit, writes *indeterminateWrites) (document dotterconfig.Document, done bool, err error) {
 	current, version, err := e.readDocument(ctx)
 	if err != nil {
-		return document, false, err
+		return document, errors.Is(err, ErrDocumentUnreadable) && writes.refusalFinal(version), err
 	}
 	if containsChange(current, edit.ChangeID) {
 		return current, true, nil
@@ -104,7 +107,10 @@
 	if err != nil {
 		return document, 0, err
 	}
-	return document, entry.Version, json.Unmarshal(entry.Value, &document)
+	if err := json.Unmarshal(entry.Value, &document); err != nil {
+		return document, entry.Version, eris.Wrapf(ErrDocumentUnreadable, "version %d: %v", entry.Version, err)
+	}
+	return document, entry.Version, nil
 }
 
 // rebase applies edit to current and returns the next document, or the error for
--- a/internal/cluster/dotterrevision/editor_test.go
+++ b/internal/cluster/dotterrevision/editor_test.go
@@ -236,3 +236,19 @@
 		require.Equal(t, referenceChangedItems(a, b), changedItems(a, b))
 	})
 }
+
+// TestUnreadableDocumentIsNotAnOutage guards against an operator who waits for a store
+// that works, because the stored document cannot be decoded.
+func TestUnreadableDocumentIsNotAnOutage(t *testing.T) {
+	editor, store := newTestEditor()
+	_, err := store.Put(t.Context(), dotterconfig.Key, []byte("{"), 0, "")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	_, err = editor.Edit(ctx, setTeam("change", "team", 1, 0))
+	require.ErrorIs(t, err, ErrDocumentUnreadable)
+	require.NoError(t, ctx.Err(), "the refusal must not wait for the deadline")
+	e, err := store.Get(t.Context(), dotterconfig.Key)
+	require.NoError(t, err)
+	require.Equal(t, "{", string(e.Value))
+}
--- a/internal/entry/dotterconnection/client_test.go
+++ b/internal/entry/dotterconnection/client_test.go
@@ -247,6 +247,32 @@
 	require.Eventually(t, func() bool { return permits.Connections("b1") == 0 }, testTimeout, pollInterval)
 }
 
+// TestSlotIsFreeWhenServerClosesLate guards against a slot that counts as used for all of
+// LateAnswerMillis although the server closed the connection meanwhile.
+func TestSlotIsFreeWhenServerClosesLate(t *testing.T) {
+	for name, answer := range map[string]string{"no answer": "", "half an answer": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			closeNow := make(chan struct{})
+			s := newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int64) {
+				_, _ = io.WriteString(c, answer)
+				<-closeNow
+				_ = c.Close()
+			})
+			c, _ := newTestClient(t, Settings{LateAnswerMillis: 60 * dotterclock.Second})
+			_, err := sendAndRead(withTimeout(t, 20*time.Millisecond), c, s.host(), "r1")
+			var lost *LostError
+			require.ErrorAs(t, err, &lost)
+			require.True(t, lost.TimedOut)
+			close(closeNow)
+			select {
+			case <-lost.SlotFree:
+			case <-time.After(testTimeout):
+				t.Fatal("the slot does not become free")
+			}
+		})
+	}
+}
+
 func TestSlotIsKeptUnlessServerClosed(t *testing.T) {
 	tests := map[string]struct {
 		answer string
--- a/internal/entry/dotterconnection/connection.go
+++ b/internal/entry/dotterconnection/connection.go
@@ -159,20 +159,20 @@
 	}
 }
 
-// readLateAnswer reads and discards the answer of a lost exchange, and reports
-// whether it was complete before the timeout. body is nil if the head of the answer
-// has not been read yet.
-func (conn *connection) readLateAnswer(request *http.Request, body io.ReadCloser, timeout time.Duration) bool {
+// readLateAnswer reads and discards the answer of a lost exchange. It returns an error
+// if the answer was not complete before the timeout. body is nil if the head of the
+// answer has not been read yet.
+func (conn *connection) readLateAnswer(request *http.Request, body io.ReadCloser, timeout time.Duration) error {
 	_ = conn.net.SetDeadline(time.Now().Add(timeout))
 	if body == nil {
 		response, err := conn.readHead(request)
 		if err != nil {
-			return false
+			return err
 		}
 		body = response.Body
 	}
 	_, err := io.Copy(io.Discard, body)
-	return err == nil
+	return err
 }
 
 // closeGracefully closes the connection for writing, waits for the server to close
--- a/internal/entry/dotterconnection/exchange.go
+++ b/internal/entry/dotterconnection/exchange.go
@@ -75,8 +75,8 @@
 	return &LostError{Cause: cause, TimedOut: timedOut, SlotFree: slotFree}
 }
 
-// awaitSlotFree closes slotFree when the server's slot counts as free: at once if the
-// server closed the connection, or when a late answer is complete. A reset proves
+// awaitSlotFree closes slotFree when the server's slot counts as free: as soon as the
+// server closes the connection, or when a late answer is complete. A reset proves
 // less than a close, because a device between host and server may have sent it.
 // After a reset, as after a timeout without a late answer, the slot counts as used
 // until LateAnswerMillis have passed. In any case the connection's permit is released
@@ -87,10 +87,12 @@
 	timeout := client.settings.LateAnswerMillis
 	start := client.clock.Now()
 	readLate := isTimeout(cause) || errors.Is(cause, errClosedEarly)
-	if readLate && e.connection.readLateAnswer(e.request, rest, timeout.Duration()) {
-		close(slotFree)
-		e.pool.retire(e.connection)
-		return
+	if readLate {
+		if cause = e.connection.readLateAnswer(e.request, rest, timeout.Duration()); cause == nil {
+			close(slotFree)
+			e.pool.retire(e.connection)
+			return
+		}
 	}
 	if isEOF(cause) {
 		close(slotFree)
--- a/internal/placement/dotterplacer/attempt.go
+++ b/internal/placement/dotterplacer/attempt.go
@@ -38,9 +38,10 @@
 	latency           float64 // latest report, in milliseconds
 	reportsOverTarget int     // consecutive reports over the target
 	peak              dotterroom.Room
-	confirmed         bool // has shown progress or has run for assumeConfirmedAfter
-	successCounted    bool // counted as a success by recordLongRun
-	lastPlan          int  // number of the last plan whose snapshot contained it
+	confirmed         bool            // has shown progress or has run for assumeConfirmedAfter
+	successCounted    bool            // counted as a success by recordLongRun
+	countedPeak       dotterroom.Room // the peak that recordLongRun added to the sizes
+	lastPlan          int             // number of the last plan whose snapshot contained it
 }
 
 // update takes over the state of the attempt from the snapshot of the shard,
--- a/internal/placement/dotterplacer/control_test.go
+++ b/internal/placement/dotterplacer/control_test.go
@@ -175,6 +175,28 @@
 	assert.Empty(t, p.queue)
 }
 
+// TestLongAttemptCountsAsOneSuccess guards against an attempt that counts as a success
+// after successAfter and again at its end, which makes a failing template look sound and
+// the worker that it fails on look faulty.
+func TestLongAttemptCountsAsOneSuccess(t *testing.T) {
+	placer := dotterplacer.New(dotterplacer.Options{})
+	p := newPool(1, workerCapacity)
+	for range 5 {
+		p.submit(dottertask.Task{Team: "b", Template: "long", Size: dotterroom.Room{MilliCores: 1000}, RunMillis: 60_000})
+	}
+	for range 45 {
+		p.advance(t, placer, 1)
+	}
+	for len(p.holders["w0"]) > 0 {
+		p.end(placer, "w0", 0, dotterattempt.PhaseDone)
+	}
+	require.Empty(t, p.queue)
+	for _, worker := range []string{"w1", "w2", "w2"} {
+		placer.RecordEnd(p.now, worker, dottertask.Task{ID: "failing", Template: "long"}, dotterattempt.Status{Phase: dotterattempt.PhaseFailed})
+	}
+	assert.False(t, placer.Quarantined(p.now, "w2"), "five successes and a failure elsewhere do not show that the worker is at fault")
+}
+
 func TestQuarantinesDoNotStopShard(t *testing.T) {
 	placer := dotterplacer.New(dotterplacer.Options{})
 	p := newPool(1, workerCapacity)
--- a/internal/placement/dotterplacer/placer.go
+++ b/internal/placement/dotterplacer/placer.go
@@ -140,7 +140,7 @@
 	if a.successCounted || !a.confirmed || now-a.startedAt < successAfter {
 		return
 	}
-	a.successCounted = true
+	a.successCounted, a.countedPeak = true, a.peak
 	p.failures.RecordSuccess(now, worker, dottertask.Task{ID: id, Template: a.template})
 	p.options.Models.Sizes.AddPeak(a.template, a.peak)
 }
@@ -148,17 +148,23 @@
 // RecordEnd updates the policy with the outcome of an attempt of task on worker.
 func (p *Placer) RecordEnd(now dotterclock.Millis, worker string, task dottertask.Task, status dotterattempt.Status) {
 	a, known := p.attempts[task.ID]
-	delete(p.attempts, task.ID)
+	known = known && a.number == status.Attempt
+	if known {
+		delete(p.attempts, task.ID)
+	}
+	counted := known && a.successCounted
 	switch status.Phase {
 	case dotterattempt.PhaseFailed:
 		p.failures.RecordFailure(now, worker, task)
 		return
 	case dotterattempt.PhaseDone:
-		p.failures.RecordSuccess(now, worker, task)
+		if !counted {
+			p.failures.RecordSuccess(now, worker, task)
+		}
 		p.failures.ForgetTask(task.ID)
 		p.learnRunTime(task, status)
 	}
-	if known && a.number == status.Attempt && !a.peak.IsZero() {
+	if known && !a.peak.IsZero() && a.peak != a.countedPeak {
 		p.options.Models.Sizes.AddPeak(task.Template, a.peak)
 	}
 }
--- a/internal/placement/dotterplacer/simulation_test.go
+++ b/internal/placement/dotterplacer/simulation_test.go
@@ -71,7 +71,8 @@
 type simulation struct {
 	scenario
 	random         *rand.Rand // set-up
-	arrivals       *rand.Rand // batch arrivals and the noise of reports
+	arrivals       *rand.Rand // batch arrivals
+	noise          *rand.Rand // of reports; their number depends on the policy
 	renewals       *rand.Rand // latency-critical tasks
 	placer         dotterelusher.Placer
 	document       dotterconfig.Document
@@ -105,7 +106,8 @@
 
 func newSimulation(s scenario, seed uint64, placer dotterelusher.Placer) *simulation {
 	m := &simulation{scenario: s, placer: placer, pendingReports: map[int][]workerReport{}}
-	m.random, m.arrivals, m.renewals = rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
+	m.random, m.arrivals = rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
+	m.renewals, m.noise = rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
 	m.now = 1_000_000
 	m.faultyFrom = m.now + 120*dotterclock.Second
 	m.lostTasks = make([]int, s.workers)
@@ -253,7 +255,7 @@
 		}
 		w.slowdown = m.disturbance(w, &active, load)
 		m.progress(w)
-		u := dotterattempt.Usage{At: m.now, Used: w.size, Progress: min(1, w.doneMillis/w.soloMillis), Slowdown: w.slowdown * (0.95 + 0.1*m.arrivals.Float64())}
+		u := dotterattempt.Usage{At: m.now, Used: w.size, Progress: min(1, w.doneMillis/w.soloMillis), Slowdown: w.slowdown * (0.95 + 0.1*m.noise.Float64())}
 		u.Task, u.Attempt = w.task.ID, w.task.Attempt
 		u.Slowdown /= w.weight()
 		usage = append(usage, u)
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -319,9 +319,9 @@
 func TestEachDomainHasItsOwner(t *testing.T) {
 	c := newShardedCluster(t, 6, "a1", "b1", "c1")
 	for host, s := range c.hosts {
-		summaries := s.Summaries()
-		require.Len(t, summaries, 1, host)
-		assert.Equal(t, 2, summaries[host[:1]].Workers, host)
+		require.Len(t, s.Summaries(), 1, host)
+		// An owner is listed before it has read the directory.
+		c.await("the workers of "+host, func() bool { return s.Summaries()[host[:1]].Workers == 2 })
 	}
 	submitAll := func(first int) []dotterjob.ID {
 		var ids []dotterjob.ID
--- a/internal/task/dotterrecord/record.go
+++ b/internal/task/dotterrecord/record.go
@@ -35,7 +35,8 @@
 	return nil
 }
 
-// Bytes returns the approximate encoded size of r in a segment.
+// Bytes returns an upper bound on the encoded size of r in a segment. Names of tasks,
+// workers and shards count with their usual lengths.
 func (r Record) Bytes() int {
 	switch {
 	case r.Accepted != nil:
@@ -43,13 +44,16 @@
 	case r.Kept != nil:
 		return r.Kept.Bytes()
 	case r.Ended != nil:
-		return fixedChangeBytes + len(r.Ended.Reason) + len(r.Ended.Checkpoint)
+		return fixedChangeBytes + textBytes(r.Ended.Reason) + textBytes(r.Ended.Checkpoint)
+	case r.Total != nil:
+		return fixedTotalBytes + textBytes(r.Total.Team) + textBytes(r.Total.Partner) + textBytes(r.Total.Split)
 	}
 	return fixedChangeBytes + taskIDBytes*len(r.Tasks())
 }
 
 // Encoded sizes in a change record.
 const (
-	fixedChangeBytes = 150
-	taskIDBytes      = 24
+	fixedChangeBytes = 240
+	fixedTotalBytes  = 320
+	taskIDBytes      = 28
 )
--- a/internal/task/dottertasks/service_test.go
+++ b/internal/task/dottertasks/service_test.go
@@ -288,6 +288,24 @@
 	}
 }
 
+// TestRepeatedMixedSubmissionAcceptsKeylessTaskOnce guards against a call of which a part
+// without a key is accepted before a part with a key fails: the repetition that its caller
+// is told to make would accept the first part again.
+func TestRepeatedMixedSubmissionAcceptsKeylessTaskOnce(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.submit("a", dottersubmission.Submission{Template: "once", Key: "warm-up"}) // all layouts are known
+	s := c.service("a")
+	document, _ := c.Current()
+	tasks := []dottertask.Task{{Team: "team"}, {Team: "team", Key: "k1"}, {Team: "team"}, {Team: "team", Key: "k2"}, {Team: "team", Key: "k3"}}
+	parts, err := s.partition(document, tasks)
+	require.NoError(t, err)
+	for i, p := range parts {
+		require.Equal(t, i == len(parts)-1, p.shard == "", "part %d of %v", i, parts)
+	}
+	require.Equal(t, []int{0, 2}, parts[len(parts)-1].indexes)
+}
+
 func TestSubmissionsThatCanNeverRunAreInvalid(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
--- a/internal/task/dottertasks/submit.go
+++ b/internal/task/dottertasks/submit.go
@@ -1,8 +1,10 @@
 package dottertasks
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -20,10 +22,11 @@
 
 // Submit accepts the submissions durably and returns their tasks.
 //
-// Submissions without a key go to one shard together. A submission with a key goes
-// to the shard that its key maps to, so only part of a call with several keys may
-// be accepted. Submit then returns ErrTaskIndeterminate, and the call may be repeated
-// with the same keys.
+// Submissions without a key go to one shard together, after all others. A submission
+// with a key goes to the shard that its key maps to, so only part of a call with several
+// keys may be accepted. Submit then returns ErrTaskIndeterminate, and the call may be
+// repeated with the same keys. What has no key was then accepted only if the answer to
+// it was lost, as in a call without keys.
 func (s *Service) Submit(ctx context.Context, submissions []dottersubmission.Submission) ([]dottertask.Task, error) {
 	document, ok := s.options.Configuration.Current()
 	if !ok {
@@ -49,7 +52,8 @@
 	indexes []int
 }
 
-// partition groups tasks by the shard that they must go to.
+// partition groups tasks by the shard that they must go to. Those that may go to any
+// shard come last, because a repetition accepts them again.
 func (s *Service) partition(document dotterconfig.Document, tasks []dottertask.Task) ([]part, error) {
 	layoutsKnown := s.hasAllLayouts(document)
 	shards := s.allShards()
@@ -72,6 +76,7 @@
 		}
 		parts[at].indexes = append(parts[at].indexes, i)
 	}
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(b.shard, a.shard) })
 	return parts, nil
 }
 
--- a/internal/testing/dotterharness/cluster.go
+++ b/internal/testing/dotterharness/cluster.go
@@ -224,7 +224,7 @@
 func (c *Cluster) identifyLink(n net.Conn, to string) *link {
 	l := &link{to: to}
 	for _, h := range c.Hosts {
-		if h.Process != nil && ownsConnection(h.Pid(), n.RemoteAddr(), n.LocalAddr()) {
+		if pid := int(h.pid.Load()); pid != 0 && ownsConnection(pid, n.RemoteAddr(), n.LocalAddr()) {
 			l.from = h.Name()
 		}
 	}
--- a/internal/testing/dotterharness/entry_host.go
+++ b/internal/testing/dotterharness/entry_host.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/server/dottersettings"
@@ -15,10 +16,11 @@
 // EntryHost is an entry host of a cluster. Its daemon may or may not be running.
 type EntryHost struct {
 	Settings dottersettings.Settings
-	*Process // the most recently started daemon
+	*Process // the most recently started daemon; only the test's goroutine may use it
 
 	directory   string
 	incarnation int64
+	pid         atomic.Int64 // of the most recently started daemon, for the relays; 0: none
 	peers       *relay
 	callers     *relay
 }
@@ -97,6 +99,9 @@
 	defer log.Close()
 	h.incarnation++
 	h.Process, err = startProcess("dotterelusherd", []string{"--settings", path}, log, log)
+	if err == nil {
+		h.pid.Store(int64(h.Pid()))
+	}
 	return err
 }
 
