--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -28,6 +28,22 @@
 	return r, true
 }
 
+// EndsStored returns a channel that is closed when the effects of all ends that the worker
+// has listed are stored, or nil if they are. Until then the worker answers each renewal at
+// once, because it lists ends that are not acknowledged.
+func (b *Board) EndsStored(id string) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.workers[id]
+	if !ok || len(w.unacknowledged) == 0 {
+		return nil
+	}
+	if w.allStored == nil {
+		w.allStored = make(chan struct{})
+	}
+	return w.allStored
+}
+
 // RenewalFailed records that a renewal got no answer.
 func (b *Board) RenewalFailed(now dotterclock.Millis, id string, err error) {
 	b.mu.Lock()
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -27,6 +27,7 @@
 	lastEnd          int64              // highest number of an end processed
 	unacknowledged   []*end             // processed ends whose effects may not be stored yet, by number
 	ackUntil         int64              // number up to which all ends are stored
+	allStored        chan struct{}      // closed when unacknowledged becomes empty; nil: nobody waits
 	faults           faultHistory
 	speed            slowdown
 	load             *workerLoad        // cached for plans; nil: to be computed again
@@ -138,6 +139,15 @@
 		w.ackUntil = w.unacknowledged[0].number
 		w.unacknowledged = w.unacknowledged[1:]
 	}
+	w.signalStored()
+}
+
+// signalStored wakes the session that waits for the ends to be stored.
+func (w *worker) signalStored() {
+	if len(w.unacknowledged) == 0 && w.allStored != nil {
+		close(w.allStored)
+		w.allStored = nil
+	}
 }
 
 // releaseIgnored permits the acknowledgement of ignored ends with numbers below expired,
@@ -154,6 +164,7 @@
 func (w *worker) resetAfterRestart(startedAt dotterclock.Millis) {
 	w.StartedAt = startedAt
 	w.lastEnd, w.ackUntil, w.unacknowledged = 0, 0, nil
+	w.signalStored()
 	w.leaseUntil = 0
 	for ref, room := range w.unknownRuns {
 		w.reserved = w.reserved.Sub(room)
--- a/internal/job/dotterdispatch/dispatcher.go
+++ b/internal/job/dotterdispatch/dispatcher.go
@@ -21,6 +21,9 @@
 	retryDelay = 150 * dotterclock.Millisecond
 	// renewDelay is the delay between two renewals; runs that end in it share one listing.
 	renewDelay = 8 * dotterclock.Millisecond
+	// unstoredDelay is the longest delay between two renewals while ends that the worker
+	// has listed are not stored. Other runs that end in it are listed later by as much.
+	unstoredDelay = 60 * dotterclock.Millisecond
 	// orderConcurrency is how many orders may be in progress at one worker.
 	orderConcurrency = 2
 )
@@ -106,6 +109,13 @@
 		}
 		d.board.HandleListing(now, sentAt, w.ID, listing)
 		d.sleep(ctx, renewDelay)
+		if stored := d.board.EndsStored(w.ID); stored != nil {
+			select {
+			case <-ctx.Done():
+			case <-stored:
+			case <-d.clock.After(unstoredDelay):
+			}
+		}
 	}
 }
 
