Contain panics and unusable records in the jobs' program

A stored value that decodes but is not its job's (a negative index, a task twice, a job that fails its check) made each owner of the shard panic in turn, and a panic anywhere took the process down. Now: - accepted jobs, progress and transfers are checked before they are applied; what is unusable excludes its job, once, with a line and a counter; - a panic while a job is placed, stored or listed excludes that job; - one in a session restarts the session, one in a call of another host fails the call, one in an owner's loop releases the shard, one in a replica's sink skips the change.

A job that had left a shard (handed over or expired) came back, without its progress, when a listing or an event of the store that was read before was applied afterwards; so did an excluded job at the next listing. The board remembers both.

--- a/internal/job/dotterboard/batch.go
+++ b/internal/job/dotterboard/batch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 )
 
@@ -75,10 +76,12 @@
 				rest = append(rest, j)
 				continue
 			}
-			if err := batch.add(j); err != nil {
-				return nil, err
+			var err error
+			b.contain(j.ID, func() { err = batch.add(j) })
+			if err != nil {
+				b.exclude(j.ID, err)
 			}
-			if j.dirty {
+			if j.dirty && !b.excluded[j.ID] {
 				rest = append(rest, j)
 			}
 		}
@@ -156,7 +159,7 @@
 // HandleCommitted records that the batch is stored: it issues the start orders of the
 // batch, lets its ends be acknowledged, makes its outcomes visible and forgets the jobs
 // that were handed over.
-func (b *Board) HandleCommitted(batch *Batch) {
+func (b *Board) HandleCommitted(now dotterclock.Millis, batch *Batch) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range batch.starts {
@@ -171,12 +174,15 @@
 			e.worker.advanceAck()
 		}
 	}
+	for _, key := range batch.Absorbed {
+		b.absorbed[key] = now
+	}
 	for _, j := range batch.finals {
 		j.storedOutcome = j.outcome
 	}
 	for _, j := range batch.left {
 		if b.jobs[j.ID] == j { // otherwise it has come back already
-			delete(b.jobs, j.ID)
+			b.depart(now, j)
 		}
 	}
 	b.notify()
--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -35,15 +35,17 @@
 	declared    estimateErrors // accuracy of declared run times
 	backlog     float64        // waiting filling tasks; from 1 they count as a queue
 	counters    Counters
-	reapedAt    dotterclock.Millis           // time of the last reap
-	blocked     map[blockedKey][]blockedSize // sizes for which no worker was found
-	waitLogAt   dotterclock.Millis           // when a waiting step was last logged
-	expired     []dotterjob.ID               // jobs whose keys can be deleted
-	dropped     []dotterjob.ID               // visiting jobs whose keys in this shard can be deleted
-	cancelled   map[dotterjob.ID]bool        // jobs with a stored cancellation, in any shard
-	absorbed    map[string]bool              // keys of transfers that were applied
-	peers       []*peer                      // other shards
-	kept        map[string]*keptRoom         // by service
+	reapedAt    dotterclock.Millis            // time of the last reap
+	blocked     map[blockedKey][]blockedSize  // sizes for which no worker was found
+	waitLogAt   dotterclock.Millis            // when a waiting step was last logged
+	expired     []dotterjob.ID                // jobs whose keys can be deleted
+	dropped     []dotterjob.ID                // visiting jobs whose keys in this shard can be deleted
+	cancelled   map[dotterjob.ID]bool         // jobs with a stored cancellation, in any shard
+	absorbed    map[string]dotterclock.Millis // keys of transfers that were applied, and when they were deleted; 0: not yet
+	peers       []*peer                       // other shards
+	kept        map[string]*keptRoom          // by service
+	excluded    map[dotterjob.ID]bool         // jobs that are left as they are stored
+	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 }
 
 // New returns an empty board for the owner with the given epoch. The previous owner may
@@ -52,7 +54,8 @@
 	return &Board{
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
-		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]bool{}, kept: map[string]*keptRoom{},
+		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
 	}
 }
 
@@ -87,12 +90,16 @@
 	b.notify()
 }
 
-// Accept adds a stored job, which was accepted age ago. It does nothing if the board
-// already has the job.
+// Accept adds a stored job, which was accepted age ago. It does nothing if the board has the
+// job, or has had it: a listing of the store may be older than the job's departure.
 func (b *Board) Accept(now, age dotterclock.Millis, accepted dotterjob.Job) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, known := b.jobs[accepted.ID]; known {
+	if _, known := b.jobs[accepted.ID]; known || b.excluded[accepted.ID] || b.hasDeparted(accepted) {
+		return
+	}
+	if err := accepted.Check(); err != nil {
+		b.exclude(accepted.ID, err)
 		return
 	}
 	b.addJob(now, age, accepted).stored = true
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -17,7 +17,8 @@
 	ResolvedByStop int64 // unanswered starts ruled out by an answered stop
 	Lost           int64 // runs that ended without a reported end
 	Rankings       int64 // rankings of all workers for a step
-	Excluded       int64 // jobs whose stored progress cannot be read
+	Excluded       int64 // jobs that are left as they are stored, because they cannot be handled
+	Panics         int64 // contained panics that belong to no single job
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
 }
--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -119,7 +119,7 @@
 	for _, c := range candidates {
 		s := c.step
 		j := s.occurrence.job
-		if s.waiting == 0 || j.leaving || j.outcome != "" || j.queue.Service == "" || len(j.outgoing) >= maxOutgoing {
+		if s.waiting == 0 || j.leaving || p.board.excluded[j.ID] || j.outcome != "" || j.queue.Service == "" || len(j.outgoing) >= maxOutgoing {
 			continue
 		}
 		abandoned := !p.hasOpenWorker(j.queue.Service)
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -64,7 +64,7 @@
 }
 
 func newJob(j dotterjob.Job, queue dotterqueues.Queue, localAcceptedAt dotterclock.Millis) *job {
-	created := &job{Job: j, queue: queue, localAcceptedAt: localAcceptedAt, criticalPath: criticalPath(j)}
+	created := &job{Job: j, queue: queue, localAcceptedAt: localAcceptedAt, criticalPath: j.CriticalPath()}
 	for k := range j.Occurrences() {
 		o := &occurrence{job: created, number: k, due: j.DueAt(k), open: len(j.Steps)}
 		for i, s := range j.Steps {
@@ -124,21 +124,6 @@
 	}
 }
 
-// criticalPath returns the length of the job's critical path: the largest sum of
-// estimates along a chain of dependent steps.
-func criticalPath(j dotterjob.Job) dotterclock.Millis {
-	lengths := make([]dotterclock.Millis, len(j.Steps))
-	longest := dotterclock.Millis(0)
-	for i, s := range j.Steps {
-		for _, after := range s.After {
-			lengths[i] = max(lengths[i], lengths[after])
-		}
-		lengths[i] += s.Estimate
-		longest = max(longest, lengths[i])
-	}
-	return longest
-}
-
 // criticalPathFrom returns the length of the longest chain of dependent steps that begins
 // with the step of the given number, as the sum of their estimates.
 func criticalPathFrom(steps []dotterjob.Step, number int) dotterclock.Millis {
@@ -168,8 +153,7 @@
 // objective returns the instant by which the occurrence should be done, as its queue
 // declares.
 func (o *occurrence) objective(wall, now dotterclock.Millis) dotterclock.Millis {
-	stretch := max(1, o.job.queue.Stretch)
-	return o.releaseTime(wall, now) + dotterclock.Millis(stretch*float64(o.job.criticalPath)) + o.job.queue.Target
+	return o.releaseTime(wall, now) + o.job.queue.Objective(o.job.criticalPath)
 }
 
 // deleteJob returns jobs without j.
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -99,7 +99,7 @@
 	for _, e := range l.Ended {
 		if e.Number > w.lastEnd {
 			w.lastEnd = e.Number
-			b.handleEnd(now, w, e, e.Number < expired)
+			b.contain(e.Ref.Task.Job, func() { b.handleEnd(now, w, e, e.Number < expired) })
 		}
 	}
 	w.releaseIgnored(expired)
@@ -107,7 +107,7 @@
 	listed := map[dotterrun.Ref]bool{}
 	for _, r := range l.Running {
 		listed[r.Ref] = true
-		b.handleRunning(now, w, r)
+		b.contain(r.Task.Job, func() { b.handleRunning(now, w, r) })
 	}
 	for ref, room := range w.unknownRuns {
 		if !listed[ref] {
@@ -117,10 +117,10 @@
 	}
 	for ref, t := range w.runs {
 		if !listed[ref] {
-			b.handleMissing(now, sentAt, w, t)
+			b.contain(ref.Task.Job, func() { b.handleMissing(now, sentAt, w, t) })
 		}
 	}
-	b.checkRuns(now, w)
+	b.containShared("checks of "+w.ID, func() { b.checkRuns(now, w) })
 }
 
 // handleRestart processes a restart of the worker, which ended all its runs.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -69,21 +69,30 @@
 	p.unblock()
 	next := now + replanInterval
 	for _, c := range candidates {
-		if c.step.occurrence.job.leaving {
-			continue // handed over because of another of its steps
-		}
-		if p.isBlocked(c.step) && !p.isStarving(c.step) {
-			next = min(next, now+blockedDuration(c.step))
-		} else if !p.place(c.step) {
-			key := keyOf(c.step)
-			b.blocked[key] = append(b.blocked[key], blockedSize{size: c.step.Size, until: now + blockedDuration(c.step)})
-			next = min(next, now+blockedDuration(c.step))
-		}
+		b.contain(c.step.occurrence.job.ID, func() { next = min(next, p.attempt(c.step)) })
 	}
-	p.handOver(candidates)
+	b.containShared("handover", func() { p.handOver(candidates) })
 	return next
 }
 
+// attempt places the tasks of a step unless a like step has just found no worker. It returns
+// the time at which to try again.
+func (p *plan) attempt(s *step) dotterclock.Millis {
+	again := p.now + replanInterval
+	if j := s.occurrence.job; j.leaving || p.board.excluded[j.ID] {
+		return again // because of another of its steps
+	}
+	if p.isBlocked(s) && !p.isStarving(s) {
+		return min(again, p.now+blockedDuration(s))
+	}
+	if p.place(s) {
+		return again
+	}
+	key := keyOf(s)
+	p.board.blocked[key] = append(p.board.blocked[key], blockedSize{size: s.Size, until: p.now + blockedDuration(s)})
+	return min(again, p.now+blockedDuration(s))
+}
+
 const (
 	// fillRetryDelay is how long filling steps that found no worker wait for the next
 	// attempt. It is short compared with the run time of their tasks, and tail latencies
@@ -172,32 +181,8 @@
 // candidates returns the ready steps with tasks to place, in the order of placement.
 func (p *plan) candidates() []candidate {
 	var cs []candidate
-	for _, j := range p.board.open {
-		if j.runs > 0 {
-			j.idleSince = 0
-		}
-		for _, o := range j.occurrences {
-			if o.open == 0 {
-				continue
-			}
-			for _, s := range o.steps {
-				if s.waiting == 0 {
-					s.waitingSince = 0
-				} else if s.ready(p.wall) {
-					if s.readyAt == 0 {
-						s.readyAt = p.now
-					}
-					if s.waitingSince == 0 {
-						s.waitingSince = p.now
-					}
-					if j.runs == 0 && j.idleSince == 0 {
-						j.idleSince = p.now
-					}
-					objective := o.objective(p.wall, p.now)
-					cs = append(cs, candidate{step: s, objective: objective, timeliness: p.timelinessOf(s, objective)})
-				}
-			}
-		}
+	for _, j := range slices.Clone(p.board.open) { // excluding a job changes it
+		p.board.contain(j.ID, func() { cs = append(cs, p.candidatesOf(j)...) })
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int {
 		return cmp.Or(
@@ -213,6 +198,37 @@
 	return cs
 }
 
+// candidatesOf returns the ready steps of a job with tasks to place.
+func (p *plan) candidatesOf(j *job) []candidate {
+	var cs []candidate
+	if j.runs > 0 {
+		j.idleSince = 0
+	}
+	for _, o := range j.occurrences {
+		if o.open == 0 {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.waiting == 0 {
+				s.waitingSince = 0
+			} else if s.ready(p.wall) {
+				if s.readyAt == 0 {
+					s.readyAt = p.now
+				}
+				if s.waitingSince == 0 {
+					s.waitingSince = p.now
+				}
+				if j.runs == 0 && j.idleSince == 0 {
+					j.idleSince = p.now
+				}
+				objective := o.objective(p.wall, p.now)
+				cs = append(cs, candidate{step: s, objective: objective, timeliness: p.timelinessOf(s, objective)})
+			}
+		}
+	}
+	return cs
+}
+
 // timelinessOf returns whether the step's job can end in time if its tasks start now.
 func (p *plan) timelinessOf(s *step, objective dotterclock.Millis) timeliness {
 	if s.LongRunning {
--- a/internal/job/dotterboard/reap.go
+++ b/internal/job/dotterboard/reap.go
@@ -40,9 +40,10 @@
 		}
 		return gone
 	})
+	b.forgetDepartures(now)
 	for id, j := range b.jobs {
 		if j.storedOutcome != "" && now-j.outcomeAt > b.settings.RetentionDuration && !b.hasRuns(j) {
-			delete(b.jobs, id)
+			b.depart(now, j)
 			if j.visiting {
 				b.dropped = append(b.dropped, id)
 			} else {
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -10,6 +11,9 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
 
+// ErrRecordInvalid means that a stored record is not one of the job's.
+var ErrRecordInvalid = eris.New("board: invalid record")
+
 // Record is the stored progress of a job.
 type Record struct {
 	Outcome  dotterjob.State `json:",omitempty"`
@@ -85,21 +89,32 @@
 	return r.Outcome, r.Begun, err
 }
 
-// Exclude removes a job whose stored progress cannot be read. Starting it could repeat
-// tasks that have run, so it stays as it is stored until somebody mends it.
-func (b *Board) Exclude(id dotterjob.ID, cause error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.counters.Excluded++
-	b.logger.Error("job excluded, its stored progress cannot be read", zap.String("Job", string(id)), zap.Error(cause))
-	if j, ok := b.jobs[id]; ok {
-		b.open = deleteJob(b.open, j)
-		delete(b.jobs, id)
+// check returns ErrRecordInvalid if the record is not one of the job's.
+func (r Record) check(j dotterjob.Job) error {
+	if r.Outcome != "" && !r.Outcome.Final() {
+		return eris.Wrapf(ErrRecordInvalid, "outcome %q", r.Outcome)
 	}
+	seen := map[dotterjob.TaskID]bool{}
+	for _, s := range r.Steps {
+		if s.Occurrence < 0 || s.Occurrence >= j.Occurrences() || s.Step < 0 || s.Step >= len(j.Steps) {
+			return eris.Wrapf(ErrRecordInvalid, "step %d of occurrence %d", s.Step, s.Occurrence)
+		}
+		if s.Done && len(s.Tasks) > 0 {
+			return eris.Wrapf(ErrRecordInvalid, "step %d of occurrence %d is done and has open tasks", s.Step, s.Occurrence)
+		}
+		for _, t := range s.Tasks {
+			id := dotterjob.TaskID{Job: j.ID, Occurrence: s.Occurrence, Step: s.Step, Index: t.Index}
+			if t.Index < 0 || t.Index >= j.Steps[s.Step].Count || t.Run < 0 || seen[id] {
+				return eris.Wrapf(ErrRecordInvalid, "task %s, run %d", id, t.Run)
+			}
+			seen[id] = true
+		}
+	}
+	return nil
 }
 
 // Restore applies the stored progress of an accepted job. Runs in the record stay bound
-// to their workers until those have listed their runs.
+// to their workers until those have listed their runs. After an error the job is as it was.
 func (b *Board) Restore(now dotterclock.Millis, id dotterjob.ID, stored []byte) error {
 	var r Record
 	if err := json.Unmarshal(stored, &r); err != nil {
@@ -112,11 +127,11 @@
 		b.logger.Warn("stored progress of an unknown job", zap.String("Job", string(id)))
 		return nil
 	}
+	if err := r.check(j.Job); err != nil {
+		return err
+	}
 	j.begun, j.visiting, j.moves = r.Begun, r.Visiting, r.Moves
 	for _, s := range r.Steps {
-		if s.Occurrence >= len(j.occurrences) || s.Step >= len(j.Steps) {
-			continue
-		}
 		b.restoreStep(now, j.occurrences[s.Occurrence].steps[s.Step], s)
 	}
 	if r.Outcome != "" {
@@ -134,9 +149,6 @@
 		return
 	}
 	for _, task := range r.Tasks {
-		if task.Index >= len(s.tasks) {
-			continue
-		}
 		t := s.tasks[task.Index]
 		t.run, t.failures, t.checkpoint = task.Run, task.Failures, task.Checkpoint
 		switch {
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -236,7 +236,7 @@
 		if s.federation != nil {
 			s.federation.store(s, batch)
 		}
-		s.board.HandleCommitted(batch)
+		s.board.HandleCommitted(s.clock.Now(), batch)
 	}
 }
 
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -81,10 +81,18 @@
 func (b *Board) Absorb(now, age dotterclock.Millis, key string, t Transfer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.absorbed[key] {
+	if _, applied := b.absorbed[key]; applied || b.excluded[t.Job.ID] {
 		return
 	}
-	b.absorbed[key] = true
+	err := t.Job.Check()
+	if err == nil {
+		err = t.Record.check(t.Job)
+	}
+	if err != nil {
+		b.exclude(t.Job.ID, err)
+		return
+	}
+	b.absorbed[key] = 0
 	j, ok := b.jobs[t.Job.ID]
 	if !ok || j.leaving {
 		j = b.addJob(now, age, t.Job)
--- a/internal/job/dotterdispatch/dispatcher.go
+++ b/internal/job/dotterdispatch/dispatcher.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
@@ -76,9 +78,22 @@
 func (d *Dispatcher) startSession(ctx context.Context, w dotterworker.Worker) {
 	sessionCtx, cancel := context.WithCancel(ctx)
 	d.sessions[w.ID] = session{worker: w, cancel: cancel}
-	go d.renew(sessionCtx, w)
+	go d.keep(sessionCtx, w, d.renew)
 	for range orderConcurrency {
-		go d.sendOrders(sessionCtx, w)
+		go d.keep(sessionCtx, w, d.sendOrders)
+	}
+}
+
+// keep runs a loop of a session until ctx ends. A loop that panics starts again after
+// retryDelay; the other workers' sessions go on.
+func (d *Dispatcher) keep(ctx context.Context, w dotterworker.Worker, loop func(context.Context, dotterworker.Worker)) {
+	for ctx.Err() == nil {
+		err := dotterpanic.Contain(func() { loop(ctx, w) })
+		var contained *dotterpanic.Error
+		if errors.As(err, &contained) {
+			d.logger.Error("session interrupted", zap.String("Worker", w.ID), zap.Error(err), zap.String("Stack", contained.Stack))
+			d.sleep(ctx, retryDelay)
+		}
 	}
 }
 
--- a/internal/job/dotterdispatch/dispatcher_test.go
+++ b/internal/job/dotterdispatch/dispatcher_test.go
@@ -49,7 +49,7 @@
 		b.Plan(clock.Now(), clock.Now())
 		batch, err := b.Batch(30)
 		require.NoError(t, err)
-		b.HandleCommitted(batch)
+		b.HandleCommitted(clock.Now(), batch)
 		state, _ := b.State(j.ID)
 		return state == dotterjob.Completed
 	}, 10*time.Second, 5*time.Millisecond)
@@ -87,7 +87,7 @@
 		b.Plan(clock.Now(), clock.Now())
 		batch, err := b.Batch(30)
 		require.NoError(t, err)
-		b.HandleCommitted(batch)
+		b.HandleCommitted(clock.Now(), batch)
 	}
 	j := dotterjob.Job{ID: "0123456789abcdef", Queue: "h/p/", Spec: "s", Steps: []dotterjob.Step{{Count: 1, Estimate: 100, Size: dotterroom.Room{MilliCores: 1000}}}}
 	pool.AddJob(j)
--- a/internal/job/dotterlink/server.go
+++ b/internal/job/dotterlink/server.go
@@ -10,6 +10,8 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 )
 
 // ErrListen means that the server cannot listen on its address.
@@ -98,7 +100,12 @@
 	if r.Params != nil {
 		args = *r.Params
 	}
-	result, err := method(ctx, args)
+	var result any
+	var err error
+	if contained := dotterpanic.Contain(func() { result, err = method(ctx, args) }); contained != nil {
+		h.server.logger.Error("call of another host failed", zap.String("Method", r.Method), zap.Error(contained))
+		err = contained
+	}
 	if err != nil {
 		h.reply(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}))
 		return
--- a/internal/job/dotterreplica/replica.go
+++ b/internal/job/dotterreplica/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 )
 
@@ -31,15 +32,15 @@
 
 // Replica follows the keys with a prefix.
 type Replica struct {
-	store       dotterelusher.TransactionalStore
-	clock       dotterelusher.Clock
-	logger      *zap.Logger
-	prefix      string
-	wait        dotterclock.Millis
-	pause       dotterclock.Millis
-	sink        Sink
-	freshAt     atomic.Int64
-	unavailable bool
+	store   dotterelusher.TransactionalStore
+	clock   dotterelusher.Clock
+	logger  *zap.Logger
+	prefix  string
+	wait    dotterclock.Millis
+	pause   dotterclock.Millis
+	sink    Sink
+	freshAt atomic.Int64
+	failing atomic.Bool // whether the last call failed
 }
 
 // New returns a replica of the keys with prefix; wait is how long one watch waits for a change.
@@ -59,6 +60,11 @@
 	return dotterclock.Millis(r.freshAt.Load())
 }
 
+// Failing reports whether the last call to the store failed.
+func (r *Replica) Failing() bool {
+	return r.failing.Load()
+}
+
 // age returns the time since FreshAt, -1 if the replica never was complete.
 func (r *Replica) age() dotterclock.Millis {
 	if r.FreshAt() == 0 {
@@ -95,10 +101,20 @@
 	if err != nil {
 		return 0, err
 	}
-	r.sink.Reset(entries)
+	r.contain(revision, func() { r.sink.Reset(entries) })
 	return revision, nil
 }
 
+// contain calls f, which hands what was read up to the revision to the sink. What it leaves
+// out because of a panic is missing until the next listing.
+func (r *Replica) contain(revision dotterkey.Revision, f func()) {
+	err := dotterpanic.Contain(f)
+	var contained *dotterpanic.Error
+	if errors.As(err, &contained) {
+		r.logger.Error("changes not applied", zap.Int64("Revision", int64(revision)), zap.Error(err), zap.String("Stack", contained.Stack))
+	}
+}
+
 // follow watches until the store has compacted the changes since the last one received.
 func (r *Replica) follow(ctx context.Context, after dotterkey.Revision) {
 	for ctx.Err() == nil {
@@ -116,7 +132,7 @@
 		r.answered(sentAt)
 		if len(changes.Entries)+len(changes.Deleted) > 0 {
 			after = changes.Revision
-			r.sink.Change(changes)
+			r.contain(changes.Revision, func() { r.sink.Change(changes) })
 			if r.pause > 0 {
 				select {
 				case <-ctx.Done():
@@ -129,8 +145,7 @@
 
 func (r *Replica) answered(sentAt dotterclock.Millis) {
 	r.freshAt.Store(int64(sentAt))
-	if r.unavailable {
-		r.unavailable = false
+	if r.failing.CompareAndSwap(true, false) {
 		r.logger.Info("store answers again")
 	}
 }
@@ -140,8 +155,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !r.unavailable {
-		r.unavailable = true
+	if r.failing.CompareAndSwap(false, true) {
 		r.logger.Warn("store does not answer", zap.Int64("FreshMsAgo", int64(r.age())), zap.Error(err))
 	}
 	select {
--- a/internal/model/dotterjob/job.go
+++ b/internal/model/dotterjob/job.go
@@ -1,6 +1,7 @@
 package dotterjob
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
@@ -13,6 +14,9 @@
 	MaxSteps     = 64   // bounds the memory of one job, far above the size of real jobs
 	MaxTasks     = 4096 // per occurrence; same reason as MaxSteps
 	MaxTimes     = 4096 // occurrences; same reason as MaxSteps
+	MaxAmount    = 1e9  // of a task's processor time, memory and accelerators; keeps sums within range
+
+	MaxEstimate = 365 * 24 * 3600 * dotterclock.Second // same reason as MaxAmount
 )
 
 // Job is a job as submitted by its caller.
@@ -40,6 +44,26 @@
 	return j.FirstDue + dotterclock.Millis(occurrence)*j.Interval
 }
 
+// CriticalPath returns the length of the job's critical path: the largest sum of estimates
+// along a chain of dependent steps.
+func (j Job) CriticalPath() dotterclock.Millis {
+	lengths := make([]dotterclock.Millis, len(j.Steps))
+	longest := dotterclock.Millis(0)
+	for i, s := range j.Steps {
+		for _, after := range s.After {
+			lengths[i] = max(lengths[i], lengths[after])
+		}
+		lengths[i] += s.Estimate
+		longest = max(longest, lengths[i])
+	}
+	return longest
+}
+
+// LongRunning reports whether the job has a step that runs until it is cancelled.
+func (j Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // Check returns a *dottercheck.Faults with every invalid field, named by its JSON
 // pointer in the request, or nil.
 func (j Job) Check() error {
@@ -61,6 +85,10 @@
 		if s.Size.MilliCores < 0 || s.Size.MemoryMB < 0 || s.Size.Accelerators < 0 {
 			c.Fail(at, "asks for a negative amount of room")
 		}
+		if max(s.Size.MilliCores, s.Size.MemoryMB, s.Size.Accelerators) > MaxAmount {
+			c.Fail(at, "asks for more room than any worker has")
+		}
+		dottercheck.Range(&c, at+"/EstimateMs", s.Estimate, 0, MaxEstimate, "ms")
 		for _, after := range s.After {
 			if after < 0 || after >= i {
 				c.Fail(at+"/After", "names step "+strconv.Itoa(after)+", which is no earlier one")
--- a/internal/model/dotterqueues/document.go
+++ b/internal/model/dotterqueues/document.go
@@ -32,6 +32,12 @@
 	return q.Host + q.Prefix
 }
 
+// Objective returns the target run time of a job whose longest chain of work takes the
+// given time.
+func (q Queue) Objective(chain dotterclock.Millis) dotterclock.Millis {
+	return dotterclock.Millis(max(1, q.Stretch)*float64(chain)) + q.Target
+}
+
 // Service is a pool of workers.
 type Service struct {
 	RejectsOverload bool // its workers reject tasks that do not fit
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterdispatch"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterentry"
@@ -95,14 +97,27 @@
 	cancellations := dotterreplica.New(o.platform.Store, o.clock, o.logger, dotterentry.CancelPrefix, watchWait, cancelSink{o, b})
 	// Own waits only for the commit loop. The other goroutines may be in a long call when
 	// their context ends, but what they change afterwards is never committed.
-	go func() { _ = directory.Run(ownerCtx) }()
-	go func() { _ = inbox.RunFrom(ownerCtx, revision) }()
-	go func() { _ = cancellations.Run(ownerCtx) }()
-	go o.plan(ownerCtx, b, planChanges)
-	go o.advise(ownerCtx, b)
-	go o.shareLearned(ownerCtx, b)
-	go o.dispatch(ownerCtx, b, committer)
-	return o.commit(ownerCtx, b, committer, commitChanges)
+	guard := func(what string, f func()) { o.guard(cancel, what, f) }
+	go guard("directory", func() { _ = directory.Run(ownerCtx) })
+	go guard("inbox", func() { _ = inbox.RunFrom(ownerCtx, revision) })
+	go guard("cancellations", func() { _ = cancellations.Run(ownerCtx) })
+	go guard("plan", func() { o.plan(ownerCtx, b, planChanges) })
+	go guard("advice", func() { o.advise(ownerCtx, b) })
+	go guard("interference models", func() { o.shareLearned(ownerCtx, b) })
+	go guard("sessions", func() { o.dispatch(ownerCtx, b, committer) })
+	guard("commits", func() { err = o.commit(ownerCtx, b, committer, commitChanges) })
+	return err
+}
+
+// guard calls f. If f panics, the shard is released: its state in memory can no longer be
+// relied on, and another owner loads it from the store.
+func (o shardOwner) guard(release context.CancelFunc, what string, f func()) {
+	err := dotterpanic.Contain(f)
+	var contained *dotterpanic.Error
+	if errors.As(err, &contained) {
+		o.logger.Error("shard released after a panic", zap.String("In", what), zap.Error(err), zap.String("Stack", contained.Stack))
+		release()
+	}
 }
 
 // ownWorkers returns the workers of the shard.
@@ -320,7 +335,7 @@
 	if err != nil {
 		return err
 	}
-	b.HandleCommitted(batch)
+	b.HandleCommitted(o.clock.Now(), batch)
 	return nil
 }
 
@@ -400,8 +415,12 @@
 			continue
 		}
 		var j dotterjob.Job
-		if err := json.Unmarshal(e.Value, &j); err != nil {
-			s.logger.Error("accepted job not decoded", zap.String("Job", string(id)), zap.Error(err))
+		err := json.Unmarshal(e.Value, &j)
+		if err == nil && j.ID != id {
+			err = eris.Errorf("the value is of job %q", j.ID)
+		}
+		if err != nil {
+			s.board.Exclude(id, eris.Wrapf(err, "accepted job, version %d", e.Version))
 			continue
 		}
 		s.board.Accept(s.clock.Now(), wallTime()-j.AcceptedAt, j)
@@ -415,8 +434,12 @@
 			continue
 		}
 		var t dotterboard.Transfer
-		if err := json.Unmarshal(e.Value, &t); err != nil {
-			s.logger.Error("transfer not decoded", zap.String("Job", string(id)), zap.String("Key", e.Key), zap.Error(err))
+		err := json.Unmarshal(e.Value, &t)
+		if err == nil && t.Job.ID != id {
+			err = eris.Errorf("the value is of job %q", t.Job.ID)
+		}
+		if err != nil {
+			s.board.Exclude(id, eris.Wrapf(err, "transfer %s, version %d", e.Key, e.Version))
 			continue
 		}
 		s.board.Absorb(s.clock.Now(), wallTime()-t.Job.AcceptedAt, e.Key, t)
