--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -39,8 +39,11 @@
 	storeCallTimeout = 600 * dotterclock.Millisecond
 	// ownerCallTimeout bounds one call to an owner.
 	ownerCallTimeout = 500 * dotterclock.Millisecond
-	// retryDelay is the delay before a call to the store is retried.
+	// retryDelay is the delay before a call to the store is retried for the first time. It
+	// grows by as much with each attempt.
 	retryDelay = 50 * dotterclock.Millisecond
+	// maxRetryDelay bounds that delay.
+	maxRetryDelay = 300 * dotterclock.Millisecond
 	// maxPendingAge is how long ago a head may have been seen to change whose counts of pending
 	// jobs are used. Callers may get counts that are two seconds old, and a head is half a
 	// second old when it is seen.
@@ -48,7 +51,7 @@
 	// storeUnavailableTimeout is how long the store may give no answer before it counts as
 	// unavailable and is not called: twice the wait of the watch that every host keeps open.
 	storeUnavailableTimeout = 2200 * dotterclock.Millisecond
-	// writeAttempts is how often a write is sent before the store counts as unreachable.
+	// writeAttempts is how often a write is tried that the store has certainly not received.
 	writeAttempts = 3
 	// cancelAttempts is how often a cancellation is tried for a job whose home changes meanwhile.
 	cancelAttempts = 3
@@ -66,31 +69,39 @@
 	Home(j dotterjob.Job) (shard string, ok bool)
 }
 
+// StoreHealth tells what this host knows of the store from a watch that it keeps open.
+type StoreHealth interface {
+	// FreshAt returns when the store last answered, 0 if it never did.
+	FreshAt() dotterclock.Millis
+	// Failing reports whether the last call to the store failed.
+	Failing() bool
+}
+
 // Service accepts and cancels jobs and reports their states. It is safe for concurrent use.
 type Service struct {
-	store        dotterelusher.TransactionalStore
-	links        *dotterlink.Client
-	elector      *dotterhead.Elector
-	clock        dotterelusher.Clock
-	logger       *zap.Logger
-	boards       Boards
-	storeFreshAt func() dotterclock.Millis
-	homes        *lru.Cache[dotterjob.ID, string] // last known homes of jobs
+	store   dotterelusher.TransactionalStore
+	links   *dotterlink.Client
+	elector *dotterhead.Elector
+	clock   dotterelusher.Clock
+	logger  *zap.Logger
+	boards  Boards
+	health  StoreHealth
+	homes   *lru.Cache[dotterjob.ID, string] // last known homes of jobs
 }
 
-// New returns a service. storeFreshAt returns when the store last answered this host.
+// New returns a service.
 func New(store dotterelusher.TransactionalStore, links *dotterlink.Client, elector *dotterhead.Elector, clock dotterelusher.Clock,
-	logger *zap.Logger, boards Boards, storeFreshAt func() dotterclock.Millis) *Service {
+	logger *zap.Logger, boards Boards, health StoreHealth) *Service {
 	homes, err := lru.New[dotterjob.ID, string](maxHomes)
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Service{store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, storeFreshAt: storeFreshAt, homes: homes}
+	return &Service{store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, health: health, homes: homes}
 }
 
 // StoreUnavailable reports whether the store has not answered for storeUnavailableTimeout.
 func (s *Service) StoreUnavailable() bool {
-	return s.clock.Now()-s.storeFreshAt() > storeUnavailableTimeout
+	return s.clock.Now()-s.health.FreshAt() > storeUnavailableTimeout
 }
 
 // Submit accepts the job durably; a job that was accepted before is left unchanged. Its
@@ -109,12 +120,21 @@
 	return s.forwardSubmit(ctx, shard, j)
 }
 
-// submitLocally creates the job in the shard.
+// submitLocally creates the job in the shard. While the store fails, it reads first: a write
+// that gets no answer leaves the caller without a truthful refusal, a read does not.
 func (s *Service) submitLocally(ctx context.Context, shard string, j dotterjob.Job) error {
 	value, err := json.Marshal(j)
 	if err != nil {
 		return eris.Wrap(ErrRefused, err.Error())
 	}
+	if s.health.Failing() {
+		switch _, err := s.readHome(ctx, j.ID); {
+		case err == nil: // accepted before
+			return nil
+		case !errors.Is(err, ErrNoJob):
+			return eris.Wrap(ErrRefused, "the store does not answer")
+		}
+	}
 	t := dotterkey.Transaction{
 		Expect: map[string]dotterkey.Version{HomeKey(j.ID): 0},
 		Puts:   []dotterkey.Entry{{Key: HomeKey(j.ID), Value: []byte(shard)}, {Key: JobKey(shard, j.ID), Value: value}},
@@ -129,7 +149,8 @@
 	return err
 }
 
-// write commits the transaction, and repeats it while its outcome is unknown. Its error is
+// write commits the transaction, and repeats it. Once it may have taken effect, it is repeated
+// until ctx ends, since callers cannot repeat a call whose outcome is unknown. Its error is
 // errConflict with the current entries of the keys in Expect, ErrUnknown or ErrRefused.
 func (s *Service) write(ctx context.Context, operation string, id dotterjob.ID, t dotterkey.Transaction) ([]dotterkey.Entry, error) {
 	sent := false
@@ -145,13 +166,13 @@
 		}
 		sent = sent || errors.Is(err, dotterelusher.ErrStoreIndeterminate)
 		s.logger.Info("write not confirmed", zap.String("Job", string(id)), zap.String("Call", operation), zap.Int("Attempt", attempt),
-			zap.Bool("MayHaveTakenEffect", sent), zap.Int64("StoreFreshMsAgo", int64(s.clock.Now()-s.storeFreshAt())), zap.Error(err))
-		if attempt == writeAttempts || ctx.Err() != nil {
+			zap.Bool("MayHaveTakenEffect", sent), zap.Int64("StoreFreshMsAgo", int64(s.clock.Now()-s.health.FreshAt())), zap.Error(err))
+		if ctx.Err() != nil || !sent && attempt >= writeAttempts {
 			break
 		}
 		select {
 		case <-ctx.Done():
-		case <-s.clock.After(retryDelay):
+		case <-s.clock.After(min(maxRetryDelay, dotterclock.Millis(attempt)*retryDelay)):
 		}
 	}
 	if sent {
@@ -191,7 +212,7 @@
 		switch {
 		case err == nil:
 			return reply, nil
-		case errors.Is(err, dotterlink.ErrNoAnswer):
+		case errors.Is(err, dotterlink.ErrNoAnswer), errors.Is(err, dotterlink.ErrRemote):
 			return writeReply{}, ErrUnknown
 		}
 	}
--- a/internal/server/dotterscheduler/scheduler.go
+++ b/internal/server/dotterscheduler/scheduler.go
@@ -65,7 +65,7 @@
 	s.elector = dotterhead.New(platform.Store, clock, logger, dotterentry.HeadPrefix, dotterhead.Candidate{
 		Host: settings.Host, Address: server.Address(), FailureDomain: settings.FailureDomain, Weak: settings.Weak,
 	})
-	s.jobs = dotterentry.New(platform.Store, s.links, s.elector, clock, logger, s, s.operatorKeys.FreshAt)
+	s.jobs = dotterentry.New(platform.Store, s.links, s.elector, clock, logger, s, s.operatorKeys)
 	return s, nil
 }
 
