Refuse forwarded calls at once at an owner whose store fails

The host that forwards waits 500 ms for the owner, and the owner waited 600 ms for the store: a call that nothing had come of ended as unknown. The test of what the log explains has a case for each of the two refusals; the stand-in store can fail writes alone.

--- a/internal/job/dotterentry/methods.go
+++ b/internal/job/dotterentry/methods.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	shard, ok := s.boards.Home(j)
-	if !ok || s.StoreUnavailable() {
+	if !ok || s.health.Failing() { // the caller may stop waiting before a try would end
 		return writeReply{}, nil
 	}
 	err := s.submitLocally(ctx, shard, j)
@@ -62,7 +62,7 @@
 	if err := json.Unmarshal(args, &id); err != nil {
 		return nil, err
 	}
-	if s.StoreUnavailable() {
+	if s.health.Failing() {
 		return writeReply{}, nil
 	}
 	err := s.cancelLocally(ctx, id)
--- a/internal/platform/dottermemory/change.go
+++ b/internal/platform/dottermemory/change.go
@@ -20,6 +20,14 @@
 	return nil
 }
 
+// prepareWrite is prepareCall for a call that writes. The caller must hold mu.
+func (s *Store) prepareWrite() error {
+	if err := s.prepareCall(); err != nil || !s.writesDown {
+		return err
+	}
+	return dotterelusher.ErrStoreUnavailable
+}
+
 // readView returns the content that reads see. The caller must hold mu.
 func (s *Store) readView() snapshot {
 	if s.stale != nil {
--- a/internal/platform/dottermemory/faults.go
+++ b/internal/platform/dottermemory/faults.go
@@ -11,6 +11,13 @@
 	s.broadcast()
 }
 
+// SetWritesDown is like SetDown for calls that write.
+func (s *Store) SetWritesDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writesDown = down
+}
+
 // LoseAnswers makes the next count writes take effect and return ErrStoreIndeterminate.
 func (s *Store) LoseAnswers(count int) {
 	s.mu.Lock()
--- a/internal/platform/dottermemory/store.go
+++ b/internal/platform/dottermemory/store.go
@@ -28,6 +28,7 @@
 	changed chan struct{}
 
 	down          bool
+	writesDown    bool
 	silent        bool
 	answersToLose int       // number of writes whose answers are still to be lost
 	stale         *snapshot // content that reads see; nil for the current content
@@ -73,7 +74,7 @@
 func (s *Store) Put(_ context.Context, key string, value []byte, expect dotterkey.Version, leaseID dotterkey.LeaseID) (dotterkey.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.prepareCall(); err != nil {
+	if err := s.prepareWrite(); err != nil {
 		return 0, err
 	}
 	if s.content.entries[key].Version != expect {
@@ -93,7 +94,7 @@
 func (s *Store) Delete(_ context.Context, key string, expect dotterkey.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.prepareCall(); err != nil {
+	if err := s.prepareWrite(); err != nil {
 		return err
 	}
 	entry, ok := s.content.entries[key]
@@ -111,7 +112,7 @@
 func (s *Store) Commit(_ context.Context, t dotterkey.Transaction) (dotterkey.Revision, []dotterkey.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.prepareCall(); err != nil {
+	if err := s.prepareWrite(); err != nil {
 		return 0, nil, err
 	}
 	if !s.expectationsHold(t) {
--- a/internal/server/dotterscheduler/explain_test.go
+++ b/internal/server/dotterscheduler/explain_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterlog"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterentry"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/tool/dotterexplain"
 )
@@ -35,14 +36,25 @@
 	}{
 		"refused while the store is unavailable": {
 			fail: func(t *testing.T, c *cluster) dotterjob.ID {
-				c.store.SetDown(true)
+				c.store.SetWritesDown(true)
 				j := dotterjob.Job{ID: "00000000000000f1", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}}
 				require.Error(t, c.hosts["a1"].Jobs().Submit(t.Context(), j))
-				c.store.SetDown(false)
+				c.store.SetWritesDown(false)
 				return j.ID
 			},
 			want: []string{"write not confirmed", "MayHaveTakenEffect=false"},
 		},
+		"refused while the store is known to fail": {
+			fail: func(t *testing.T, c *cluster) dotterjob.ID {
+				c.store.SetDown(true)
+				c.await("the watch fails", func() bool { return c.hosts["a1"].operatorKeys.Failing() })
+				j := dotterjob.Job{ID: "00000000000000f4", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}}
+				require.ErrorIs(t, c.hosts["a1"].Jobs().Submit(t.Context(), j), dotterentry.ErrRefused)
+				c.store.SetDown(false)
+				return j.ID
+			},
+			want: []string{"home of the job not read", "unavailable"},
+		},
 		"failed because its task fails on every worker": {
 			fail: func(t *testing.T, c *cluster) dotterjob.ID {
 				c.pool.FailAlways("00000000000000f2")
