--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"sync/atomic"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rotisserie/eris"
@@ -86,6 +87,7 @@
 	logger  *zap.Logger
 	boards  Boards
 	health  StoreHealth
+	failed  atomic.Int64                     // when a call of this service to the store last failed
 	homes   *lru.Cache[dotterjob.ID, string] // last known homes of jobs
 }
 
@@ -104,6 +106,12 @@
 	return s.clock.Now()-s.health.FreshAt() > storeUnavailableTimeout
 }
 
+// storeFails reports whether the last call of this host to the store failed. A watch that
+// waits for its answer shows a silent store only after a second or more.
+func (s *Service) storeFails() bool {
+	return s.health.Failing() || dotterclock.Millis(s.failed.Load()) > s.health.FreshAt()
+}
+
 // Submit accepts the job durably; a job that was accepted before is left unchanged. Its
 // error is ErrRefused or ErrUnknown.
 func (s *Service) Submit(ctx context.Context, j dotterjob.Job) error {
@@ -127,7 +135,7 @@
 	if err != nil {
 		return eris.Wrap(ErrRefused, err.Error())
 	}
-	if s.health.Failing() {
+	if s.storeFails() {
 		switch _, err := s.readHome(ctx, j.ID); {
 		case err == nil: // accepted before
 			return nil
@@ -164,6 +172,7 @@
 		case errors.Is(err, dotterelusher.ErrStoreConflict):
 			return current, errConflict
 		}
+		s.failed.Store(int64(s.clock.Now()))
 		sent = sent || errors.Is(err, dotterelusher.ErrStoreIndeterminate)
 		s.logger.Info("write not confirmed", zap.String("Job", string(id)), zap.String("Call", operation), zap.Int("Attempt", attempt),
 			zap.Bool("MayHaveTakenEffect", sent), zap.Int64("StoreFreshMsAgo", int64(s.clock.Now()-s.health.FreshAt())), zap.Error(err))
@@ -277,6 +286,7 @@
 		return home, ErrNoJob
 	}
 	if err != nil {
+		s.failed.Store(int64(s.clock.Now()))
 		s.logger.Info("home of the job not read", zap.String("Job", string(id)), zap.Error(err))
 		return home, ErrUnavailable
 	}
--- a/internal/job/dotterentry/service_test.go
+++ b/internal/job/dotterentry/service_test.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// TestFirstUnansweredWriteWarnsTheNext guards against one caller after the other whose write
+// is sent to a store that has just left one unanswered, while the watch still waits.
+func TestFirstUnansweredWriteWarnsTheNext(t *testing.T) {
+	store := &resettingStore{Store: dottermemory.New(dotterclock.NewSystem()), lose: 1000, readsFail: true}
+	s := newTestService(t, store, fixedHealth{away: true}, "127.0.0.1:1")
+	s.health = fixedHealth{clock: fixedClock(s.clock.Now())} // the watch has answered until now
+	time.Sleep(5 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, s.Submit(ctx, testJob()), ErrUnknown)
+	sent := store.commits.Load()
+	second := testJob()
+	second.ID = "0123456789abcde0"
+	assert.ErrorIs(t, s.Submit(t.Context(), second), ErrRefused)
+	assert.Equal(t, sent, store.commits.Load())
+	store.readsFail, store.lose = false, 0
+	assert.NoError(t, s.Submit(t.Context(), second), "the store answers again")
+}
+
+// fixedClock is a clock that stands still.
+type fixedClock dotterclock.Millis
+
+func (c fixedClock) Now() dotterclock.Millis                            { return dotterclock.Millis(c) }
+func (c fixedClock) After(dotterclock.Millis) <-chan dotterclock.Millis { return nil }
+
 // TestForwardedCallThatFailsIsUnknown guards against a refusal of a call that an owner may
 // have carried out before it failed.
 func TestForwardedCallThatFailsIsUnknown(t *testing.T) {
--- a/internal/model/dotterjob/job.go
+++ b/internal/model/dotterjob/job.go
@@ -1,7 +1,6 @@
 package dotterjob
 
 import (
-	"slices"
 	"strconv"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dottercheck"
@@ -59,11 +58,6 @@
 	return longest
 }
 
-// LongRunning reports whether the job has a step that runs until it is cancelled.
-func (j Job) LongRunning() bool {
-	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
-}
-
 // Check returns a *dottercheck.Faults with every invalid field, named by its JSON
 // pointer in the request, or nil.
 func (j Job) Check() error {
