--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -91,10 +91,14 @@
 	w.clock, w.clockAt = l.Clock, now
 	w.load = nil
 	expired := int64(0)
+	w.oldestListed = 0
 	for _, e := range l.Ended {
 		if e.Ending == dotterrun.Lapsed {
 			expired = e.Number
 		}
+		if w.oldestListed == 0 || e.Number < w.oldestListed {
+			w.oldestListed = e.Number
+		}
 	}
 	for _, e := range l.Ended {
 		if e.Number > w.lastEnd {
--- a/internal/job/dotterboard/recovery_test.go
+++ b/internal/job/dotterboard/recovery_test.go
@@ -77,3 +77,30 @@
 		assert.Equal(t, 100, little.paceWanted)
 	}
 }
+
+// TestEndsAreAcknowledgedOnce guards against a renewal that arrives after a restart of the
+// worker and still carries an acknowledgement of ends before it: their numbers start again,
+// and the worker would discard ends that nobody has seen.
+func TestEndsAreAcknowledgedOnce(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	id := s.submit(1, tasks(3, 300))
+	s.until(2000, s.stateIs(id, dotterjob.Completed))
+	s.run(300) // the ends are stored and acknowledged
+	require.EqualValues(t, 3, s.board.workers["w00"].ackUntil)
+	before, ok := s.board.Renewal(s.clock.Now(), "w00") // is delayed
+	require.True(t, ok)
+
+	s.pool.Restart("w00")
+	s.run(200)
+	second := s.submit(2, tasks(2, 300))
+	s.storeUp = true
+	s.until(2000, func() bool { return s.pool.Starts(second) == 2 })
+	s.clock.Advance(400) // both have ended, and nobody has seen it
+	before.Wait = 0
+	_, err := s.pool.Renew(t.Context(), testWorker(0), before)
+	require.NoError(t, err)
+	s.until(2000, s.stateIs(second, dotterjob.Completed))
+	assert.Equal(t, 2, s.pool.Starts(second), "the ends must not be discarded unseen")
+	s.requireNoViolations()
+}
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -25,6 +25,7 @@
 	unansweredSince  dotterclock.Millis // first failed renewal since heardAt; 0: none
 	mayHaveRestarted bool               // whether it may have restarted since heardAt
 	lastEnd          int64              // highest number of an end processed
+	oldestListed     int64              // lowest number of an end in its last listing; 0: it listed none
 	unacknowledged   []*end             // processed ends whose effects may not be stored yet, by number
 	ackUntil         int64              // number up to which all ends are stored
 	allStored        chan struct{}      // closed when unacknowledged becomes empty; nil: nobody waits
@@ -74,9 +75,11 @@
 }
 
 // acknowledged returns the number up to which the worker may discard ends. It is 0 if the
-// worker may have restarted, because the numbers of its ends would then start again.
+// worker may have restarted, because the numbers of its ends would then start again. For the
+// same reason, it is 0 if the worker has already discarded them: the call may arrive after a
+// restart that nobody knows of yet.
 func (w *worker) acknowledged() int64 {
-	if w.mayHaveRestarted || w.unansweredSince != 0 {
+	if w.mayHaveRestarted || w.unansweredSince != 0 || w.oldestListed == 0 || w.oldestListed > w.ackUntil {
 		return 0
 	}
 	return w.ackUntil
@@ -163,7 +166,7 @@
 // resetAfterRestart sets StartedAt and discards the state of the worker's previous incarnation.
 func (w *worker) resetAfterRestart(startedAt dotterclock.Millis) {
 	w.StartedAt = startedAt
-	w.lastEnd, w.ackUntil, w.unacknowledged = 0, 0, nil
+	w.lastEnd, w.oldestListed, w.ackUntil, w.unacknowledged = 0, 0, 0, nil
 	w.signalStored()
 	w.leaseUntil = 0
 	for ref, room := range w.unknownRuns {
--- a/internal/standin/dotterstandpool/history.go
+++ b/internal/standin/dotterstandpool/history.go
@@ -49,11 +49,8 @@
 		p.addViolation("%s run %d was started on %s after the end of a finished run was acknowledged", r.Task, r.Run, w.ID)
 	}
 	for _, after := range step.After {
-		for i := range j.Steps[after].Count {
-			dependency := dotterjob.TaskID{Job: r.Task.Job, Occurrence: r.Task.Occurrence, Step: after, Index: i}
-			if !h.done[dependency] {
-				p.addViolation("%s was started before %s was done", r.Task, dependency)
-			}
+		if open := p.openTasks(j, r.Task.Occurrence, after); len(open) > 0 {
+			p.addViolation("%s was started before %v were done", r.Task, open)
 		}
 	}
 	if !p.reserved(w).Fits(w.Capacity) {
@@ -64,6 +61,23 @@
 	}
 }
 
+// openTasks returns the tasks of a step that are not done. A gang works as one: it is done
+// when a member is.
+func (p *Pool) openTasks(j dotterjob.Job, occurrence, step int) []dotterjob.TaskID {
+	var open []dotterjob.TaskID
+	for i := range j.Steps[step].Count {
+		id := dotterjob.TaskID{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
+		done := p.history.done[id]
+		if done && j.Steps[step].Gang {
+			return nil
+		}
+		if !done {
+			open = append(open, id)
+		}
+	}
+	return open
+}
+
 // recordEnd records the end of a run.
 func (p *Pool) recordEnd(w *Worker, r *run, ending dotterrun.Ending, _ dotterclock.Millis) {
 	h := &p.history
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -161,6 +161,22 @@
 	return runs
 }
 
+// Finished reports whether every task of the job has finished.
+func (p *Pool) Finished(id dotterjob.ID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		w.tick()
+	}
+	j, ok := p.jobs[id]
+	for k := range j.Occurrences() {
+		for i := range j.Steps {
+			ok = ok && len(p.openTasks(j, k, i)) == 0
+		}
+	}
+	return ok
+}
+
 // Tick advances all workers to the current time.
 func (p *Pool) Tick() {
 	p.mu.Lock()
@@ -216,15 +232,22 @@
 }
 
 // Renew implements dotterelusher.RunClient. It waits for an end or a refusal for at
-// most n.Wait.
+// most n.Wait. A call that waits when its worker restarts gets no answer.
 func (p *Pool) Renew(ctx context.Context, w dotterworker.Worker, n dotterrun.Renewal) (dotterrun.Listing, error) {
 	const pollInterval = 5 * dotterclock.Millisecond
 	deadline := p.clock.Now() + n.Wait
-	for {
+	for first := dotterclock.Millis(0); ; {
 		l, err := p.list(w.ID, n)
+		if first == 0 {
+			first = l.StartedAt
+		}
+		if err == nil && l.StartedAt != first {
+			return dotterrun.Listing{}, dotterelusher.ErrWorkerIndeterminate
+		}
 		if err != nil || len(l.Ended) > 0 || l.Refused != dotterrun.NotRefused || p.clock.Now() >= deadline {
 			return l, err
 		}
+		n.AcknowledgedUntil = 0 // acknowledges what had ended when the call arrived
 		select {
 		case <-ctx.Done():
 			return dotterrun.Listing{}, dotterelusher.ErrWorkerIndeterminate
--- a/internal/testing/dotterharness/binaries.go
+++ b/internal/testing/dotterharness/binaries.go
@@ -47,7 +47,7 @@
 		return
 	}
 	path := string(module[:len(module)-1])
-	arguments := []string{"build", "-o", programs.directory + "/", path + "/cmd/standin", path + "/cmd/dotterelusherd"}
+	arguments := []string{"build", "-o", programs.directory + "/", path + "/cmd/standin", path + "/cmd/dotterelusherd", path + "/cmd/dotterscheduler"}
 	output, err := exec.Command("go", arguments...).CombinedOutput()
 	if err != nil {
 		programs.err = eris.Wrap(ErrBuild, fmt.Sprintf("%v: %s", err, output))
--- a/internal/testing/dotterharness/entry_host.go
+++ b/internal/testing/dotterharness/entry_host.go
@@ -98,7 +98,7 @@
 	}
 	defer log.Close()
 	h.incarnation++
-	h.Process, err = startProcess("dotterelusherd", []string{"--settings", path}, log, log)
+	h.Process, err = StartProcess("dotterelusherd", []string{"--settings", path}, log, log)
 	if err == nil {
 		h.pid.Store(int64(h.Pid()))
 	}
--- a/internal/testing/dotterharness/process.go
+++ b/internal/testing/dotterharness/process.go
@@ -19,8 +19,9 @@
 	err error // result of waiting for the process
 }
 
-// startProcess starts a program with the given outputs; a nil output is discarded.
-func startProcess(program string, arguments []string, stdout, stderr io.Writer) (*Process, error) {
+// StartProcess starts a program with the given outputs; a nil output is discarded. The
+// process is killed when the test process dies. Its error is ErrProcess or ErrBuild.
+func StartProcess(program string, arguments []string, stdout, stderr io.Writer) (*Process, error) {
 	path, err := Binary(program)
 	if err != nil {
 		return nil, err
@@ -75,6 +76,11 @@
 	p.signal(syscall.SIGSTOP)
 }
 
+// Reload asks the process to read its settings again.
+func (p *Process) Reload() {
+	p.signal(syscall.SIGHUP)
+}
+
 // Resume continues a frozen process.
 func (p *Process) Resume() {
 	p.signal(syscall.SIGCONT)
--- a/internal/testing/dotterharness/stand_in.go
+++ b/internal/testing/dotterharness/stand_in.go
@@ -34,7 +34,7 @@
 		return nil, eris.Wrap(ErrProcess, err.Error())
 	}
 	defer reader.Close()
-	process, err := startProcess("standin", arguments, writer, os.Stderr)
+	process, err := StartProcess("standin", arguments, writer, os.Stderr)
 	writer.Close()
 	if err != nil {
 		return nil, err
