--- a/internal/standin/dotterstandpool/history.go
+++ b/internal/standin/dotterstandpool/history.go
@@ -54,7 +54,11 @@
 		}
 	}
 	if !p.reserved(w).Fits(w.Capacity) {
-		p.addViolation("%s was started on %s and exceeds its capacity", r.Task, w.ID)
+		var beside []dotterrun.Ref
+		for _, other := range w.running {
+			beside = append(beside, other.Ref)
+		}
+		p.addViolation("%s was started on %s and exceeds its capacity, beside %v", r.Task, w.ID, beside)
 	}
 	if !w.HasLabel(step.Label) {
 		p.addViolation("%s was started on %s, which does not have the label %s", r.Task, w.ID, step.Label)
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -76,6 +76,9 @@
 	}
 	w.ended = append(w.ended, dotterrun.End{Number: w.lastEndNumber, Ref: r.Ref, Ending: ending, Checkpoint: checkpoint})
 	w.pool.recordEnd(w, r, ending, at)
+	if s, ok := w.pool.stepOf(r.Task); ok && s.Gang && ending == dotterrun.Done {
+		w.pool.endGang(r, at)
+	}
 }
 
 // start executes a start order.
