Contain panics of a task shard's owner and of a peer's call

Both ended the process. An owner that panics ends without writing anything more, its callers are refused or told that the outcome is unknown, and the next owner reads the log; a call that panics is answered with an error.

--- a/internal/cluster/dotterpeer/link_call.go
+++ b/internal/cluster/dotterpeer/link_call.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 )
 
 // serve handles a call in its own goroutine, or refuses it with codeBusy if
@@ -42,7 +43,12 @@
 	if r.Params != nil {
 		params = *r.Params
 	}
-	result, err := handler(ctx, l.identity().Name, params)
+	var result any
+	var err error
+	if contained := dotterpanic.Contain(func() { result, err = handler(ctx, l.identity().Name, params) }); contained != nil {
+		l.mesh.logger.Error("call of a peer failed", zap.String("Peer", l.identity().Name), zap.String("Method", r.Method), zap.Error(contained))
+		err = contained
+	}
 	if err != nil {
 		l.logReplyError(c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}))
 		return
--- a/internal/cluster/dotterpeer/mesh_test.go
+++ b/internal/cluster/dotterpeer/mesh_test.go
@@ -111,6 +111,21 @@
 	require.Eventually(t, hasPeers(b, 0), waitTimeout, pollInterval)
 }
 
+// TestPanicFailsItsCallOnly guards against a process that one call of a peer takes down.
+func TestPanicFailsItsCallOnly(t *testing.T) {
+	a := newMesh(t, Identity{Name: "a", FailureDomain: "x"})
+	b := newMesh(t, Identity{Name: "b", FailureDomain: "x"}, a.Identity().Address)
+	a.Handle("Panic", func(context.Context, string, json.RawMessage) (any, error) { panic("unexpected") })
+	a.Start()
+	b.Start()
+	require.Eventually(t, hasPeers(b, 1), waitTimeout, pollInterval)
+	for range maxConcurrentCalls + 1 { // each gives its slot back
+		var remote *RemoteError
+		require.ErrorAs(t, b.Call(t.Context(), "a", "Panic", nil, nil), &remote)
+	}
+	require.NoError(t, b.Call(t.Context(), "a", "Echo", "hello", nil))
+}
+
 func TestCallAboveConcurrencyLimitIsUnreachable(t *testing.T) {
 	a := newMesh(t, Identity{Name: "a", FailureDomain: "x"})
 	b := newMesh(t, Identity{Name: "b", FailureDomain: "x"}, a.Identity().Address)
--- a/internal/task/dotterowner/fault_test.go
+++ b/internal/task/dotterowner/fault_test.go
@@ -394,3 +394,27 @@
 		return err == nil
 	})
 }
+
+// TestPanicEndsItsOwnerOnly guards against a process that one shard takes down: the owner
+// ends, its calls are answered, and the next one completes the tasks.
+func TestPanicEndsItsOwnerOnly(t *testing.T) {
+	t.Parallel()
+	p := newPool(t, 2)
+	o := p.open(p.options("a/1"))
+	ids := p.submit(o, repeat(4, task(true, 5_000))...)
+	p.advanceUntil(30*dotterclock.Second, func() bool { return p.startsOf(ids[0]) == 1 })
+	o.mailbox <- func() { panic("unexpected") }
+	<-o.Dead()
+	require.ErrorContains(t, o.Err(), "unexpected")
+	_, err := o.Submit(t.Context(), []dottertask.Task{task(true, 100)})
+	require.ErrorIs(t, err, ErrRefused)
+
+	p.owners = nil
+	next := p.open(p.options("a/2"))
+	defer next.Stop()
+	p.advanceUntil(300*dotterclock.Second, func() bool { return p.allEnded(next, ids) })
+	p.checkInvariants()
+	for _, id := range ids {
+		require.Equal(t, 1, p.starts[id])
+	}
+}
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -10,6 +10,7 @@
 
 	dotterelusher "github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterpanic"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/task/dotterledger"
@@ -93,10 +94,23 @@
 	o.logBytes = log.Bytes()
 	o.restoreFromLedger()
 	o.logger.Info("Shard opened", zap.Int64("Epoch", log.Epoch()), zap.Int("Queued", ledger.QueueLen()), zap.Int("Bound", ledger.BoundLen()))
-	o.tomb.Go(o.loop)
+	o.tomb.Go(o.run)
 	return o, nil
 }
 
+// run runs the loop. A panic ends the owner without writing anything more: what it has in
+// memory can no longer be relied on, and the next owner reads the log.
+func (o *Owner) run() error {
+	var err error
+	contained := dotterpanic.Contain(func() { err = o.loop() })
+	var p *dotterpanic.Error
+	if errors.As(contained, &p) {
+		o.logger.Error("Shard given up after a panic", zap.Int64("Epoch", o.log.Epoch()), zap.Error(contained), zap.String("Stack", p.Stack))
+		return contained
+	}
+	return err
+}
+
 // restoreFromLedger restores the attempts and offers of the previous owner. The
 // state of each attempt on its worker is unknown, and each offer may have been
 // accepted by its target.
