--- a/internal/base/dotterpanic/contain.go
+++ b/internal/base/dotterpanic/contain.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"runtime/debug"
+
+	"go.uber.org/zap"
 )
 
 // Error is a panic that was contained.
@@ -16,12 +18,17 @@
 	return fmt.Sprintf("panic: %v", e.Value)
 }
 
-// Contain calls f, and returns an *Error if f panics. Locks that f holds must be released by
-// deferred calls.
-func Contain(f func()) (err error) {
+// Fields returns more with the log fields that describe the panic.
+func (e *Error) Fields(more ...zap.Field) []zap.Field {
+	return append(more, zap.Error(e), zap.String("Stack", e.Stack))
+}
+
+// Contain calls f, and returns an Error if f panics, or else nil. Locks that f holds must be
+// released by deferred calls.
+func Contain(f func()) (contained *Error) {
 	defer func() {
 		if v := recover(); v != nil {
-			err = &Error{Value: v, Stack: string(debug.Stack())}
+			contained = &Error{Value: v, Stack: string(debug.Stack())}
 		}
 	}()
 	f()
--- a/internal/base/dotterpanic/contain_test.go
+++ b/internal/base/dotterpanic/contain_test.go
@@ -22,14 +22,13 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			err := Contain(tc.f)
+			contained := Contain(tc.f)
 			if tc.want == "" {
-				require.NoError(t, err)
+				require.Nil(t, contained)
 				return
 			}
-			var contained *Error
-			require.ErrorAs(t, err, &contained)
-			assert.EqualError(t, err, tc.want)
+			require.NotNil(t, contained)
+			assert.EqualError(t, contained, tc.want)
 			assert.Contains(t, contained.Stack, "contain_test.go")
 		})
 	}
--- a/internal/cluster/dotterpeer/link_call.go
+++ b/internal/cluster/dotterpeer/link_call.go
@@ -46,7 +46,7 @@
 	var result any
 	var err error
 	if contained := dotterpanic.Contain(func() { result, err = handler(ctx, l.identity().Name, params) }); contained != nil {
-		l.mesh.logger.Error("call of a peer failed", zap.String("Peer", l.identity().Name), zap.String("Method", r.Method), zap.Error(contained))
+		l.mesh.logger.Error("call of a peer failed", contained.Fields(zap.String("Peer", l.identity().Name), zap.String("Method", r.Method))...)
 		err = contained
 	}
 	if err != nil {
--- a/internal/job/dotterboard/exclude.go
+++ b/internal/job/dotterboard/exclude.go
@@ -34,12 +34,13 @@
 	}
 	b.excluded[id] = true
 	b.counters.Excluded++
-	fields := []zap.Field{zap.String("Job", string(id)), zap.Error(cause)}
+	job := zap.String("Job", string(id))
 	var contained *dotterpanic.Error
 	if errors.As(cause, &contained) {
-		fields = append(fields, zap.String("Stack", contained.Stack))
+		b.logger.Error("job excluded", contained.Fields(job)...)
+	} else {
+		b.logger.Error("job excluded", job, zap.Error(cause))
 	}
-	b.logger.Error("job excluded", fields...)
 	j, ok := b.jobs[id]
 	if !ok {
 		return
@@ -53,18 +54,16 @@
 // contain calls f, which handles something of the job, and excludes the job if f panics.
 // A successor tries once more.
 func (b *Board) contain(id dotterjob.ID, f func()) {
-	if err := dotterpanic.Contain(f); err != nil {
-		b.exclude(id, err)
+	if contained := dotterpanic.Contain(f); contained != nil {
+		b.exclude(id, contained)
 	}
 }
 
 // containShared calls f, which handles something that belongs to no single job.
 func (b *Board) containShared(what string, f func()) {
-	err := dotterpanic.Contain(f)
-	var contained *dotterpanic.Error
-	if errors.As(err, &contained) {
+	if contained := dotterpanic.Contain(f); contained != nil {
 		b.counters.Panics++
-		b.logger.Error("panic contained", zap.String("In", what), zap.Error(err), zap.String("Stack", contained.Stack))
+		b.logger.Error("panic contained", contained.Fields(zap.String("In", what))...)
 	}
 }
 
--- a/internal/job/dotterdispatch/dispatcher.go
+++ b/internal/job/dotterdispatch/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"go.uber.org/zap"
 
@@ -88,10 +87,8 @@
 // retryDelay; the other workers' sessions go on.
 func (d *Dispatcher) keep(ctx context.Context, w dotterworker.Worker, loop func(context.Context, dotterworker.Worker)) {
 	for ctx.Err() == nil {
-		err := dotterpanic.Contain(func() { loop(ctx, w) })
-		var contained *dotterpanic.Error
-		if errors.As(err, &contained) {
-			d.logger.Error("session interrupted", zap.String("Worker", w.ID), zap.Error(err), zap.String("Stack", contained.Stack))
+		if contained := dotterpanic.Contain(func() { loop(ctx, w) }); contained != nil {
+			d.logger.Error("session interrupted", contained.Fields(zap.String("Worker", w.ID))...)
 			d.sleep(ctx, retryDelay)
 		}
 	}
--- a/internal/job/dotterlink/server.go
+++ b/internal/job/dotterlink/server.go
@@ -103,7 +103,7 @@
 	var result any
 	var err error
 	if contained := dotterpanic.Contain(func() { result, err = method(ctx, args) }); contained != nil {
-		h.server.logger.Error("call of another host failed", zap.String("Method", r.Method), zap.Error(contained))
+		h.server.logger.Error("call of another host failed", contained.Fields(zap.String("Method", r.Method))...)
 		err = contained
 	}
 	if err != nil {
--- a/internal/job/dotterreplica/replica.go
+++ b/internal/job/dotterreplica/replica.go
@@ -108,10 +108,8 @@
 // contain calls f, which hands what was read up to the revision to the sink. What it leaves
 // out because of a panic is missing until the next listing.
 func (r *Replica) contain(revision dotterkey.Revision, f func()) {
-	err := dotterpanic.Contain(f)
-	var contained *dotterpanic.Error
-	if errors.As(err, &contained) {
-		r.logger.Error("changes not applied", zap.Int64("Revision", int64(revision)), zap.Error(err), zap.String("Stack", contained.Stack))
+	if contained := dotterpanic.Contain(f); contained != nil {
+		r.logger.Error("changes not applied", contained.Fields(zap.Int64("Revision", int64(revision)))...)
 	}
 }
 
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -112,10 +112,8 @@
 // guard calls f. If f panics, the shard is released: its state in memory can no longer be
 // relied on, and another owner loads it from the store.
 func (o shardOwner) guard(release context.CancelFunc, what string, f func()) {
-	err := dotterpanic.Contain(f)
-	var contained *dotterpanic.Error
-	if errors.As(err, &contained) {
-		o.logger.Error("shard released after a panic", zap.String("In", what), zap.Error(err), zap.String("Stack", contained.Stack))
+	if contained := dotterpanic.Contain(f); contained != nil {
+		o.logger.Error("shard released after a panic", contained.Fields(zap.String("In", what))...)
 		release()
 	}
 }
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -102,10 +102,8 @@
 // memory can no longer be relied on, and the next owner reads the log.
 func (o *Owner) run() error {
 	var err error
-	contained := dotterpanic.Contain(func() { err = o.loop() })
-	var p *dotterpanic.Error
-	if errors.As(contained, &p) {
-		o.logger.Error("Shard given up after a panic", zap.Int64("Epoch", o.log.Epoch()), zap.Error(contained), zap.String("Stack", p.Stack))
+	if contained := dotterpanic.Contain(func() { err = o.loop() }); contained != nil {
+		o.logger.Error("Shard given up after a panic", contained.Fields(zap.Int64("Epoch", o.log.Epoch()))...)
 		return contained
 	}
 	return err
