--- a/internal/job/dotterboard/faults_test.go
+++ b/internal/job/dotterboard/faults_test.go
@@ -67,6 +67,48 @@
 	})
 }
 
+// TestTasksThatMayNotMissStay injects random faults and requires that no order ends a
+// long-running task on a worker that is not draining, whatever fills beside it.
+func TestTasksThatMayNotMissStay(t *testing.T) {
+	const workers = 4
+	rapid.Check(t, func(r *rapid.T) {
+		s := newShard(t, workers)
+		s.run(200)
+		serving := servingStep("serving", 8)
+		serving.MayMiss = 1
+		lasting := s.submit(1, serving)
+		s.until(3000, func() bool { return len(s.workersOf(lasting)) == 8 })
+		draining := map[string]bool{}
+		worker := func() string { return testWorker(rapid.IntRange(0, workers-1).Draw(r, "worker")).ID }
+		actions := []func(){
+			func() {
+				s.submitTo(lowQueue, 2+len(s.accepted), fillingStep("f", 6, 1500, rapid.Bool().Draw(r, "checkpoints")))
+			},
+			func() {
+				id, tail := worker(), dotterclock.Millis(rapid.IntRange(1, int(3*testTarget)).Draw(r, "tail"))
+				for _, run := range s.pool.Running()[id] {
+					s.pool.SetTail(id, run.Task, tail)
+				}
+			},
+			func() { s.pool.SetSlow(worker(), rapid.IntRange(1, 5).Draw(r, "factor")) },
+			func() { s.pool.Restart(worker()) },
+			func() { s.takeOver(dotterclock.Millis(rapid.IntRange(0, 3000).Draw(r, "span"))) },
+			func() { id := worker(); draining[id] = true; s.pool.SetDraining(id, true) },
+		}
+		for range rapid.IntRange(5, 20).Draw(r, "actions") {
+			actions[rapid.IntRange(0, len(actions)-1).Draw(r, "action")]()
+			for range rapid.IntRange(1, 60).Draw(r, "pause") {
+				s.run(10)
+				for _, w := range s.board.workersByID {
+					for _, task := range w.runs {
+						require.False(r, task.stopping && task.step.LongRunning && !draining[w.ID], "%s is stopped on %s", task.id(), w.ID)
+					}
+				}
+			}
+		}
+	})
+}
+
 // allFinal reports whether all jobs have a final state.
 func (s *shard) allFinal(ids []dotterjob.ID) bool {
 	for _, id := range ids {
