--- a/Makefile
+++ b/Makefile
@@ -51,11 +51,12 @@
 capacity:
 	$(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./internal/testing/dottercapacity
 
-# Plays the fault soak with three times SOAK_SEEDS seeds, from 1, 101 and 201 on.
+# Plays the fault soak: the seeds that have failed, and three times SOAK_SEEDS others, from
+# 1, 101 and 201 on.
 soak:
 	$(GO) test -c -o bin/soak.test ./platform
 	@for first in 1 101 201; do \
-		(cd platform && ../bin/soak.test -test.run TestSoak -test.v -test.timeout 60m -soak.first $$first -soak.seeds $(SOAK_SEEDS) > ../bin/soak-$$first.txt 2>&1) & \
+		(cd platform && ../bin/soak.test -test.run TestSoak -test.v -test.timeout 60m -soak.first $$first -soak.seeds $(SOAK_SEEDS) $$([ $$first = 1 ] && echo -soak.again) > ../bin/soak-$$first.txt 2>&1) & \
 	done; wait; grep -h "failures$$" bin/soak-*.txt; ! grep -q -e "^FAIL" -e "^panic" bin/soak-*.txt
 
 # Runs each fuzz target for FUZZTIME. What it finds is kept under testdata of its package.
