Complete a gang whose ends arrive after it was taken for lost

The log shows the run lost with its lease at 797334, its worker back at 798032, no line that an end was ignored, and run 2 at 798594: the task was waiting when the end Done arrived, and any task but one of a gang is completed by that. A gang's ends were acknowledged without effect, and the gang ran again. It is completed now unless a member has started again; then the ends are held back like any other task's. TestGangThatEndedUnseenIsNotStartedAgain fails without it.

--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -245,7 +245,7 @@
 	}
 	j := t.job()
 	j.begun = true
-	if e.Ending == dotterrun.Done && t.isBound() && t.ref() != e.Ref && !t.step.LongRunning && !expired {
+	if e.Ending == dotterrun.Done && t.startedAgain() && t.ref() != e.Ref && !t.step.LongRunning && !expired {
 		// The run was taken for lost and the task was started again, but nothing shows
 		// that the lease had expired first. The end has no effect. It is not acknowledged
 		// before the lease has expired, because an acknowledged end counts as the task's.
@@ -262,7 +262,12 @@
 		b.endRun(now, w, t, e.Ending)
 		return
 	}
-	if e.Ending == dotterrun.Done && t.phase == waiting && !t.step.Gang {
+	if e.Ending != dotterrun.Done || t.startedAgain() {
+		return
+	}
+	if t.step.Gang && !t.step.LongRunning {
+		b.completeGang(now, t.step)
+	} else if t.phase == waiting {
 		b.complete(now, t)
 	}
 }
--- a/internal/job/dotterboard/recovery_test.go
+++ b/internal/job/dotterboard/recovery_test.go
@@ -104,3 +104,22 @@
 	assert.Equal(t, 2, s.pool.Starts(second), "the ends must not be discarded unseen")
 	s.requireNoViolations()
 }
+
+// TestGangThatEndedUnseenIsNotStartedAgain guards against a gang whose ends arrive after its
+// runs were taken for lost: they were acknowledged without effect, and the gang ran again.
+func TestGangThatEndedUnseenIsNotStartedAgain(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	gang := tasks(3, 2000)
+	gang.Gang = true
+	id := s.submit(1, gang)
+	s.until(1000, func() bool { return s.pool.Starts(id) == 3 })
+	s.pool.SetUnreachable("w00", true) // the gang is done there before the lease expires
+	s.run(8000)
+	s.pool.SetUnreachable("w00", false)
+	s.until(3000, s.stateIs(id, dotterjob.Completed))
+	s.run(1000)
+	assert.Equal(t, 3, s.pool.Starts(id))
+	assert.Empty(t, s.board.workers["w00"].unacknowledged)
+	s.requireNoViolations()
+}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -1,6 +1,8 @@
 package dotterboard
 
 import (
+	"slices"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
@@ -76,3 +78,11 @@
 func (t *task) mayHaveReachedWorker() bool {
 	return t.phase == ordered || t.phase == uncertain || t.phase == inherited || t.phase == running
 }
+
+// startedAgain reports whether the task is bound or, in a gang, any of its members.
+func (t *task) startedAgain() bool {
+	if t.step.Gang {
+		return slices.ContainsFunc(t.step.tasks, (*task).isBound)
+	}
+	return t.isBound()
+}
--- a/internal/task/dotterowner/owner.go
+++ b/internal/task/dotterowner/owner.go
@@ -157,6 +157,11 @@
 // post queues f for the loop and reports whether it was queued; it is not once
 // the loop has ended.
 func (o *Owner) post(f func()) bool {
+	select {
+	case <-o.closed: // the mailbox may have room all the same
+		return false
+	default:
+	}
 	select {
 	case o.mailbox <- f:
 		return true
