--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -202,7 +202,7 @@
 		w = b.addWorker(listed)
 	}
 	if !w.inDirectory || w.Draining != listed.Draining || w.Address != listed.Address {
-		b.logger.Info("worker in the directory", zap.String("Worker", id), zap.String("FailureDomain", listed.FailureDomain),
+		b.logger.Info("worker in the directory", zap.String("Worker", id), zap.String("Address", listed.Address), zap.String("FailureDomain", listed.FailureDomain),
 			zap.Bool("Draining", listed.Draining), zap.Bool("New", !ok), zap.Int64("Born", int64(listed.StartedAt)))
 	}
 	startedAt := w.StartedAt
@@ -277,7 +277,7 @@
 func (b *Board) bind(t *task, w *worker) {
 	t.run++
 	t.phase, t.worker = bound, w
-	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, false, 0
+	t.sentAt, t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overTargetSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
@@ -306,7 +306,8 @@
 // markLost releases a task whose run is over although no end was listed.
 func (b *Board) markLost(now dotterclock.Millis, t *task, reason string) {
 	b.counters.Lost++
-	b.logger.Info("run lost", b.runFields(t, zap.String("Reason", reason), zap.Int64("HeardMsAgo", int64(now-t.worker.heardAt)))...)
+	b.logger.Info("run lost", b.runFields(t, zap.String("Reason", reason), zap.Int64("HeardMsAgo", int64(now-t.worker.heardAt)),
+		zap.Bool("Contacted", t.worker.contacted), zap.Int64("AgeWhenHeardMs", int64(t.worker.heardAt-t.sentAt)))...)
 	b.release(t)
 }
 
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -73,8 +73,14 @@
 		return
 	}
 	if l.Refused != dotterrun.NotRefused {
+		if !w.renewalRefused {
+			w.renewalRefused = true
+			b.logger.Warn("renewal refused", zap.String("Worker", id), zap.String("Address", w.Address), zap.String("Refusal", string(l.Refused)),
+				zap.Int("Runs", len(w.runs)), zap.Int64("HeardMsAgo", int64(now-w.heardAt)))
+		}
 		return
 	}
+	w.renewalRefused = false
 	if w.unansweredSince != 0 {
 		b.logger.Info("worker answers again", zap.String("Worker", id), zap.Int64("SilentMs", int64(now-w.heardAt)))
 	}
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -88,6 +88,7 @@
 			}
 			return false
 		}
+		t.sentAt = now
 		t.validUntil = w.estimatedClock(now) + startValidity
 		w.leaseUntil = max(w.leaseUntil, t.validUntil)
 		o.Start = &dotterrun.Start{
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -33,6 +33,7 @@
 	checkpoint string
 	gangDone   bool
 
+	sentAt          dotterclock.Millis // when the start order was sent; 0: it has not been, or by a previous owner
 	validUntil      dotterclock.Millis // end of the start order's validity, on the worker's clock
 	answeredAt      dotterclock.Millis // when the start was answered, timed out or was first listed; 0: not yet
 	stopAnsweredAt  dotterclock.Millis // when a stop of this run was last carried out; 0: never
