--- /dev/null
+++ b/internal/job/dotterboard/crash_test.go
@@ -0,0 +1,241 @@
+package dotterboard
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// firstTask returns the ID of the first task of the job.
+func firstTask(id dotterjob.ID) dotterjob.TaskID {
+	return dotterjob.TaskID{Job: id}
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against a task that is started again on one
+// worker after the other and crashes each of them, until nobody asks for its job any more.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	gang, lasting := tasks(3, 400), lastingStep(2)
+	gang.Gang = true
+	tests := map[string]struct {
+		step    dotterjob.Step
+		returns dotterclock.Millis
+		disturb func(s *shard) // after each start of the task
+	}{
+		"worker back before its lease expires": {step: tasks(2, 400), returns: 3300},
+		"worker back after its lease expired":  {step: tasks(2, 400), returns: 9000},
+		"long-running task":                    {step: lasting, returns: 3300},
+		"gang":                                 {step: gang, returns: 3300},
+		"owner replaced after each start":      {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.run(50); s.takeOver(1200) }},
+		"owner replaced at each start":         {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.takeOver(0) }},
+		"start not answered":                   {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.loseNextAnswers() }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 8)
+			s.run(200)
+			s.pool.ReturnAfter(tc.returns)
+			if tc.disturb != nil {
+				tc.disturb(s)
+			}
+			s.run(500)
+			beside := s.submit(2, tasks(12, 2500))
+			serving := s.submit(3, lastingStep(6))
+			id := s.submit(1, tc.step)
+			s.pool.MakeDeadly(firstTask(id))
+			starts := 0
+			for end := s.clock.Now() + 60_000; s.clock.Now() < end && !s.state(id).Final(); s.run(10) {
+				if n := s.pool.StartsOf(firstTask(id)); n > starts && tc.disturb != nil {
+					starts = n
+					tc.disturb(s)
+				}
+			}
+			s.run(3000)
+			assert.Equal(t, dotterjob.Failed, s.state(id))
+			assert.Empty(t, s.workersOf(id), "the other tasks of the job must stop")
+			assert.Equal(t, dotterjob.Completed, s.state(beside))
+			assert.Len(t, s.workersOf(serving), 6)
+			s.requireNoViolations()
+		})
+	}
+}
+
+// loseNextAnswers makes each worker execute the next order without answering.
+func (s *shard) loseNextAnswers() {
+	for id := range s.pool.Listed() {
+		s.pool.LoseAnswers(id, 1)
+	}
+}
+
+// TestRunsOfDeadWorkerAreFree guards against runs that wait for the expiry of their lease
+// although another incarnation answers at the address of their worker. A new owner
+// knows neither lease nor worker.
+func TestRunsOfDeadWorkerAreFree(t *testing.T) {
+	tests := map[string]func(s *shard){
+		"same owner":        func(*shard) {},
+		"owner replaced":    func(s *shard) { s.takeOver(4000) },
+		"and worker absent": func(s *shard) { s.run(2500); s.takeOver(4000) }, // from the directory
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 2)
+			s.run(200)
+			id := s.submit(1, lastingStep(2))
+			s.until(1000, func() bool { return len(s.workersOf(id)) == 2 })
+			s.pool.ReturnAfter(3000)
+			s.pool.Crash(s.workersOf(id)[0])
+			s.run(200)
+			disturb(s)
+			s.until(3500, func() bool { return len(s.workersOf(id)) == 2 })
+			s.requireNoViolations()
+		})
+	}
+}
+
+// TestCrashesForOtherReasonsAreNoFault guards against giving up tasks that merely ran on
+// workers which crashed.
+func TestCrashesForOtherReasonsAreNoFault(t *testing.T) {
+	const workers = 8
+	rapid.Check(t, func(r *rapid.T) {
+		s := newShard(t, workers)
+		s.pool.ReturnAfter(dotterclock.Millis(rapid.IntRange(500, 9000).Draw(r, "return")))
+		s.run(200)
+		lasting := s.submit(1, lastingStep(16))
+		long := s.submit(2, tasks(8, 20_000))
+		ids := []dotterjob.ID{lasting, long}
+		for range rapid.IntRange(3, 8).Draw(r, "crashes") {
+			for range rapid.IntRange(1, 4).Draw(r, "jobs") {
+				ids = append(ids, s.submit(len(ids)+1, tasks(rapid.IntRange(1, 10).Draw(r, "count"), 900)))
+			}
+			s.run(dotterclock.Millis(rapid.IntRange(1, 400).Draw(r, "pause") * 10))
+			var up []string
+			for id := range s.pool.Listed() {
+				up = append(up, id)
+			}
+			slices.Sort(up)
+			for range min(len(up)-1, rapid.IntRange(1, 3).Draw(r, "at once")) {
+				i := rapid.IntRange(0, len(up)-1).Draw(r, "worker")
+				s.pool.Crash(up[i])
+				up = slices.Delete(up, i, i+1)
+			}
+			if rapid.Bool().Draw(r, "takeover") {
+				s.takeOver(1200)
+			}
+		}
+		s.run(20_000)
+		for _, id := range ids {
+			require.NotEqual(r, dotterjob.Failed, s.state(id), "job %s", id)
+		}
+		require.Len(r, s.workersOf(lasting), 16)
+		require.Empty(r, s.pool.Violations())
+	})
+}
+
+// TestTasksBesideCrashingOneAreKept guards against blaming the tasks that start on a worker
+// together with the one that crashes it, and that restart together with it.
+func TestTasksBesideCrashingOneAreKept(t *testing.T) {
+	s := newShard(t, 8)
+	s.run(200)
+	s.pool.ReturnAfter(3300)
+	var beside, deadly []dotterjob.ID
+	for i := range 12 {
+		id := s.submit(1+i, tasks(6, 700))
+		if i%3 == 0 {
+			s.pool.MakeDeadly(firstTask(id))
+			deadly = append(deadly, id)
+		} else {
+			beside = append(beside, id)
+		}
+	}
+	s.until(60_000, func() bool { return s.allFinal(append(slices.Clone(beside), deadly...)) })
+	for _, id := range beside {
+		assert.Equal(t, dotterjob.Completed, s.state(id), "job %s", id)
+	}
+	for _, id := range deadly {
+		assert.Equal(t, dotterjob.Failed, s.state(id), "job %s", id)
+	}
+	s.requireNoViolations()
+}
+
+// TestTaskGivenUpAwayFromHome guards against a job whose state its home does not learn of,
+// because the task that crashes workers was handed over to another shard.
+func TestTaskGivenUpAwayFromHome(t *testing.T) {
+	f := newFederation(t, map[string]int{"a": 1, "b": 6})
+	f.pool.ReturnAfter(3300)
+	id := f.submit("a", 1, lastingStep(6)) // four fit on a worker
+	f.run(2500)
+	require.Equal(t, map[string]int{"a": 4, "b": 2}, f.runningIn(id))
+	for _, away := range []int{4, 5} {
+		f.pool.MakeDeadly(dotterjob.TaskID{Job: id, Index: away})
+	}
+	for w, runs := range f.pool.Running() {
+		if w[:1] == "b" && len(runs) > 0 {
+			f.pool.Crash(w)
+		}
+	}
+	f.until(60_000, func() bool { return f.state(id) == dotterjob.Failed })
+	f.run(1500)
+	assert.Empty(t, f.runningIn(id))
+	f.requireNoViolations()
+}
+
+// TestNoStartOnShrunkWorker guards against start orders for a worker whose capacity has
+// shrunk below what is reserved on it after the task was bound.
+func TestNoStartOnShrunkWorker(t *testing.T) {
+	tests := map[string]func(s *shard){
+		"shrinks before the binding is stored": func(*shard) {},
+		"with a run that is being stopped": func(s *shard) {
+			id := s.submit(9, tasks(1, 60_000))
+			s.until(1000, func() bool { return len(s.workersOf(id)) == 1 })
+			s.pool.LoseAnswers("w00", 1)
+			s.board.Cancel(s.clock.Now(), id)
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 1)
+			s.run(200)
+			prepare(s)
+			s.storeUp = false
+			id := s.submit(1, tasks(2, 500))
+			s.run(100)
+			s.pool.SetCapacity("w00", dotterroom.Room{MilliCores: 3000, MemoryMB: 250_000}, 0)
+			s.run(300)
+			s.storeUp = true
+			s.run(2000)
+			assert.Zero(t, s.pool.Starts(id))
+			s.pool.SetCapacity("w00", dotterroom.Room{MilliCores: 64_000, MemoryMB: 250_000}, 0)
+			s.until(3000, s.stateIs(id, dotterjob.Completed))
+			s.requireNoViolations()
+		})
+	}
+}
+
+// TestClearedTaskStartsCountingAgain checks that only crashes without a sound run in between
+// count, also for a new owner.
+func TestClearedTaskStartsCountingAgain(t *testing.T) {
+	s := newShard(t, 8)
+	s.pool.ReturnAfter(3300)
+	s.run(200)
+	id := s.submit(1, tasks(1, 60_000))
+	for range 6 {
+		s.until(6000, func() bool { return len(s.workersOf(id)) == 1 })
+		s.run(100) // a young run
+		s.pool.Crash(s.workersOf(id)[0])
+		s.run(50)
+		s.until(6000, func() bool { return len(s.workersOf(id)) == 1 })
+		s.run(1500) // a sound one
+		s.pool.Crash(s.workersOf(id)[0])
+		s.run(50)
+		s.takeOver(0)
+	}
+	assert.Equal(t, dotterjob.Running, s.state(id))
+	s.requireNoViolations()
+}
+
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
@@ -19,11 +20,14 @@
 	ended         []dotterrun.End
 	lastEndNumber int64
 
-	unreachable   bool               // does not answer; its runs continue
-	crashed       bool               // runs nothing and does not answer
-	answersToLose int                // number of upcoming orders that are executed but not answered
-	ordersToDelay int                // number of upcoming orders to hold back until Pool.Deliver
-	failing       bool               // runs that it starts fail
+	unreachable   bool            // does not answer; its runs continue
+	crashed       bool            // runs nothing and does not answer
+	successor     string          // after a crash: the worker that answers at its address; empty: none yet
+	answersToLose int             // number of upcoming orders that are executed but not answered
+	ordersToDelay int             // number of upcoming orders to hold back until Pool.Deliver
+	failing       bool            // runs that it starts fail
+	previous      dotterroom.Room // capacity before the last change, which counts until previousUntil
+	previousUntil dotterclock.Millis
 	slowFactor    dotterclock.Millis // multiplies the duration of new runs; 0 means 1
 }
 
@@ -33,6 +37,7 @@
 	startedAt dotterclock.Millis
 	duration  dotterclock.Millis
 	failing   bool
+	deadly    bool // crashes the worker when it is due
 	pace      int
 	tail      dotterclock.Millis
 }
@@ -48,6 +53,10 @@
 	for _, r := range w.running {
 		due := r.startedAt + r.duration
 		switch {
+		case r.deadly && due <= now:
+			w.pool.recordCrash(r)
+			w.crash()
+			return
 		case due <= now && due <= w.leaseUntil && !w.isLongRunning(r):
 			ending := dotterrun.Done
 			if r.failing {
@@ -99,6 +108,9 @@
 		return w.answer(dotterrun.RefusedOld)
 	}
 	r := &run{Ref: s.Ref, startedAt: w.pool.clock.Now(), duration: w.pool.durationOf(s.Task) * max(1, w.slowFactor), failing: w.failing || w.pool.jobFails(s.Task), pace: 100}
+	if w.pool.deadly[s.Task] {
+		r.deadly, r.duration = true, crashDelay
+	}
 	w.running[s.Task] = r
 	w.pool.recordStart(w, r, s)
 	return w.answer(dotterrun.NotRefused)
@@ -146,6 +158,18 @@
 	return dotterrun.Answer{Clock: w.clock(), Refused: refusal}
 }
 
+// crashDelay is how long after its start a deadly task crashes its worker.
+const crashDelay = 10 * dotterclock.Millisecond
+
+// crash ends all runs, discards all state and answers no more.
+func (w *Worker) crash() {
+	w.restart()
+	w.crashed = true
+	if w.pool.returnAfter > 0 {
+		w.pool.returns = append(w.pool.returns, returning{w.ID, w.pool.clock.Now() + w.pool.returnAfter})
+	}
+}
+
 // restart ends all runs, discards all state and starts a new incarnation.
 func (w *Worker) restart() {
 	for _, r := range w.running {
--- a/worker_client.go
+++ b/worker_client.go
@@ -15,6 +15,10 @@
 	ErrWorkerUnreachable = eris.New("worker: unreachable, the command was not sent")
 	// ErrWorkerIndeterminate means that the command may have reached the worker.
 	ErrWorkerIndeterminate = eris.New("worker: no answer, the command may have taken effect")
+	// ErrWorkerClosed means that the worker's host closed the connection or refused one,
+	// as it does once the worker's process has ended. An error that wraps it also wraps one
+	// of the others.
+	ErrWorkerClosed = eris.New("worker: the connection was closed or refused")
 )
 
 // WorkerClient sends commands to workers. The address is the worker's IP:port. A
