--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -238,4 +238,3 @@
 	assert.Equal(t, dotterjob.Running, s.state(id))
 	s.requireNoViolations()
 }
-
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -14,7 +14,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, ok := b.workers[id]
-	if !ok || (!w.inDirectory && len(w.runs) == 0) {
+	if !ok || (!w.inDirectory && len(w.runs) == 0) || w.replacedAt != 0 && now-w.replacedAt < replacedRetryDelay {
 		return dotterrun.Renewal{}, false
 	}
 	r := dotterrun.Renewal{Epoch: b.epoch, AcknowledgedUntil: w.acknowledged()}
@@ -78,9 +78,12 @@
 			b.logger.Warn("renewal refused", zap.String("Worker", id), zap.String("Address", w.Address), zap.String("Refusal", string(l.Refused)),
 				zap.Int("Runs", len(w.runs)), zap.Int64("HeardMsAgo", int64(now-w.heardAt)))
 		}
+		if l.Refused == dotterrun.RefusedIncarnation {
+			b.handleReplacement(now, w)
+		}
 		return
 	}
-	w.renewalRefused = false
+	w.renewalRefused, w.replacedAt = false, 0
 	if w.unansweredSince != 0 {
 		b.logger.Info("worker answers again", zap.String("Worker", id), zap.Int64("SilentMs", int64(now-w.heardAt)))
 	}
@@ -152,6 +155,26 @@
 	}
 }
 
+// replacedRetryDelay is the pause between renewals to a worker that another incarnation has
+// replaced, until its entry leaves the directory.
+const replacedRetryDelay = 1000 * dotterclock.Millisecond
+
+// handleReplacement processes the answer of another incarnation at the worker's address. A
+// worker has its address for life, so that its runs are over and their leases are of no account.
+func (b *Board) handleReplacement(now dotterclock.Millis, w *worker) {
+	w.replacedAt = now
+	if w.unansweredSince == 0 {
+		w.unansweredSince = now
+	}
+	w.resetAfterRestart(0)
+	for _, t := range w.runs {
+		if t.mayHaveReachedWorker() {
+			b.markLost(now, t, "another incarnation answers at the worker's address")
+		}
+	}
+	b.notify()
+}
+
 // handleRunning processes a run that the worker lists as running.
 func (b *Board) handleRunning(now dotterclock.Millis, w *worker, r dotterrun.Running) {
 	t := b.boundTask(w, r.Ref)
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -105,9 +105,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if w, ok := b.workers[o.Worker.ID]; ok {
-		if err != nil {
+		switch {
+		case err != nil:
 			w.mayHaveRestarted = true
-		} else {
+		case answer.Refused == dotterrun.RefusedIncarnation:
+			b.counters.Refused[answer.Refused]++
+			b.handleReplacement(now, w)
+		default:
 			w.checkClock(now, answer.Clock)
 		}
 	}
@@ -162,7 +166,7 @@
 	case dotterrun.RefusedOld:
 		t.phase, t.answeredAt = uncertain, now
 		return
-	case dotterrun.RefusedBusy, dotterrun.RefusedRoom, dotterrun.RefusedIncarnation:
+	case dotterrun.RefusedBusy, dotterrun.RefusedRoom:
 		w.faults.addFault(now, 1)
 	case dotterrun.RefusedTicket:
 		t.step.tickets.drop(w)
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -39,6 +39,7 @@
 	Run        int    `json:",omitempty"`
 	Failures   int    `json:",omitempty"`
 	Worker     string `json:",omitempty"` // to which the run is bound; empty: none
+	Address    string `json:",omitempty"` // of that worker, which may have left the directory when the record is read
 	Checkpoint string `json:",omitempty"`
 }
 
@@ -71,7 +72,7 @@
 			task.Done, task.Failures = t.phase == done, t.failures
 		}
 		if t.isBound() {
-			task.Worker = t.worker.ID
+			task.Worker, task.Address = t.worker.ID, t.worker.Address
 		}
 		if !task.Done && !final {
 			task.Checkpoint = t.checkpoint
@@ -157,7 +158,7 @@
 		case task.Away:
 			t.setAway()
 		case task.Worker != "":
-			b.restoreBound(now, t, task.Worker)
+			b.restoreBound(now, t, task)
 		}
 	}
 }
@@ -177,10 +178,10 @@
 
 // restoreBound binds a run of the previous owner to its worker, which may be missing from
 // the directory.
-func (b *Board) restoreBound(now dotterclock.Millis, t *task, id string) {
-	w, ok := b.workers[id]
+func (b *Board) restoreBound(now dotterclock.Millis, t *task, r TaskRecord) {
+	w, ok := b.workers[r.Worker]
 	if !ok {
-		w = b.addWorker(dotterworker.Worker{ID: id})
+		w = b.addWorker(dotterworker.Worker{ID: r.Worker, Address: r.Address})
 		w.absentSince = now
 	}
 	t.phase, t.worker = inherited, w
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -24,6 +24,7 @@
 	heardAt          dotterclock.Millis // when its last listing arrived
 	unansweredSince  dotterclock.Millis // first failed renewal since heardAt; 0: none
 	renewalRefused   bool               // whether its last answer to a renewal was a refusal
+	replacedAt       dotterclock.Millis // when another incarnation last answered at its address; 0: none has
 	mayHaveRestarted bool               // whether it may have restarted since heardAt
 	lastEnd          int64              // highest number of an end processed
 	oldestListed     int64              // lowest number of an end in its last listing; 0: it listed none
