--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -81,10 +81,9 @@
 		base.Percent = t.paceWanted
 		o.Pace = &base
 	case orderStart:
-		if t.phase != ordered || t.job().outcome != "" || !b.mayStart(now, w, t.step) {
+		if t.phase != ordered || t.job().outcome != "" || !b.mayStart(now, w, t.step) || w.overfull() {
 			if t.phase == ordered {
-				b.release(t) // the start was never sent
-				b.notify()
+				b.dropStart(now, t)
 			}
 			return false
 		}
@@ -100,6 +99,16 @@
 	return true
 }
 
+// dropStart releases a task whose start order was not sent.
+func (b *Board) dropStart(now dotterclock.Millis, t *task) {
+	b.logger.Info("start dropped", b.runFields(t, zap.Bool("Open", b.isOpen(now, t.worker)), zap.String("Free", t.worker.free().String()))...)
+	b.release(t)
+	if t.step.Gang {
+		b.stopGang(now, t.step)
+	}
+	b.notify()
+}
+
 // OrderAnswered applies the worker's answer to an order, or the error of the call.
 func (b *Board) OrderAnswered(now dotterclock.Millis, o *Order, answer dotterrun.Answer, err error) {
 	b.mu.Lock()
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -58,6 +58,12 @@
 	return w.Capacity.Sub(w.reserved)
 }
 
+// overfull reports whether more is reserved than the worker's capacity, which may have shrunk
+// since tasks were bound to it.
+func (w *worker) overfull() bool {
+	return !w.reserved.Fits(w.Capacity)
+}
+
 // estimatedClock returns the estimated present time on the worker's clock.
 func (w *worker) estimatedClock(now dotterclock.Millis) dotterclock.Millis {
 	return w.clock + now - w.clockAt
