--- a/internal/job/dotterboard/batch.go
+++ b/internal/job/dotterboard/batch.go
@@ -9,13 +9,13 @@
 
 // Batch is a set of changes to the shard's stored state, to be stored together.
 type Batch struct {
-	Records   map[dotterjob.ID][]byte // progress records of jobs, JSON
-	Jobs      []dotterjob.Job         // jobs to store under this shard
-	Transfers []*Transfer             // tasks handed over to other shards
-	Absorbed  []string                // keys of transfers to this shard that are deleted
-	Dropped   []dotterjob.ID          // jobs whose keys under this shard are deleted
-	Expired   []dotterjob.ID          // jobs of which all keys are deleted
-	Cancelled []dotterjob.ID          // jobs to cancel in the shards that have tasks of them
+	Records   map[dotterjob.ID][]byte       // progress records of jobs, JSON
+	Jobs      []dotterjob.Job               // jobs to store under this shard
+	Transfers []*Transfer                   // tasks handed over to other shards
+	Absorbed  []string                      // keys of transfers to this shard that are deleted
+	Dropped   []dotterjob.ID                // jobs whose keys under this shard are deleted
+	Expired   []dotterjob.ID                // jobs of which all keys are deleted
+	Cancelled map[dotterjob.ID]Cancellation // jobs to end in the other shards that have tasks of them
 
 	entries int // number of keys that are written or deleted
 	starts  []*bindingStart
@@ -67,7 +67,7 @@
 func (b *Board) Batch(limit int) (*Batch, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	batch := &Batch{Records: map[dotterjob.ID][]byte{}}
+	batch := &Batch{Records: map[dotterjob.ID][]byte{}, Cancelled: map[dotterjob.ID]Cancellation{}}
 	var rest []*job
 	for _, urgent := range []bool{true, false} {
 		rest = nil
@@ -77,7 +77,7 @@
 				continue
 			}
 			var err error
-			b.contain(j.ID, func() { err = batch.add(j) })
+			b.contain(j.ID, func() { err = b.addTo(batch, j) })
 			if err != nil {
 				b.exclude(j.ID, err)
 			}
@@ -115,20 +115,20 @@
 	return n
 }
 
-// cancelsElsewhere reports whether the job has failed and has tasks in other shards, which
-// have to stop.
+// cancelsElsewhere reports whether the job has failed here and other shards do not know: its
+// home, or those that have tasks of it, which have to stop.
 func (j *job) cancelsElsewhere() bool {
-	return j.outcome == dotterjob.Failed && j.storedOutcome == "" && j.away > 0
+	return j.outcome == dotterjob.Failed && j.storedOutcome == "" && (j.away > 0 || j.visiting) && !j.announced
 }
 
-// add moves the job's pending changes to the batch.
-func (batch *Batch) add(j *job) error {
+// addTo moves the job's pending changes to the batch.
+func (b *Board) addTo(batch *Batch, j *job) error {
 	batch.entries += j.entries()
 	if j.leaving {
 		batch.Dropped = append(batch.Dropped, j.ID)
 		batch.left = append(batch.left, j)
 	} else {
-		record, err := json.Marshal(newRecord(j))
+		record, err := json.Marshal(b.newRecord(j))
 		if err != nil {
 			return err
 		}
@@ -149,7 +149,7 @@
 		batch.finals = append(batch.finals, j)
 	}
 	if j.cancelsElsewhere() {
-		batch.Cancelled = append(batch.Cancelled, j.ID)
+		batch.Cancelled[j.ID] = Cancellation{Failed: j.reason}
 	}
 	j.incoming, j.outgoing, j.starts, j.ends = j.incoming[n:], nil, nil, nil
 	j.dirty = len(j.incoming) > 0
--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -40,12 +40,14 @@
 	waitLogAt   dotterclock.Millis            // when a waiting step was last logged
 	expired     []dotterjob.ID                // jobs whose keys can be deleted
 	dropped     []dotterjob.ID                // visiting jobs whose keys in this shard can be deleted
-	cancelled   map[dotterjob.ID]bool         // jobs with a stored cancellation, in any shard
+	cancelled   map[dotterjob.ID]Cancellation // stored cancellations, in any shard
 	absorbed    map[string]dotterclock.Millis // keys of transfers that were applied, and when they were deleted; 0: not yet
 	peers       []*peer                       // other shards
 	kept        map[string]*keptRoom          // by service
 	excluded    map[dotterjob.ID]bool         // jobs that are left as they are stored
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
+	closures    []closure                     // of the last closureRetention
+	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 }
 
 // New returns an empty board for the owner with the given epoch. The previous owner may
@@ -54,7 +56,7 @@
 	return &Board{
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
-		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]bool{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
+		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
 		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
 	}
 }
@@ -77,6 +79,14 @@
 	}
 }
 
+// SetTimeOfDay tells the board the time of day, which stored instants refer to. It must be
+// called before Restore.
+func (b *Board) SetTimeOfDay(now, wall dotterclock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wallOffset = wall - now
+}
+
 // Configure sets the queue configuration and the failure domains that are out of service.
 func (b *Board) Configure(document dotterqueues.Document, out map[string]bool) {
 	b.mu.Lock()
@@ -120,12 +130,19 @@
 	return j
 }
 
+// Cancellation is the stored end of a job in all shards that have tasks of it.
+type Cancellation struct {
+	Failed string `json:",omitempty"` // why the job has failed in another shard; empty: cancelled by its caller
+}
+
 // Cancel applies a stored cancellation, which may be of a job that another shard has or
 // will hand over to this one.
-func (b *Board) Cancel(now dotterclock.Millis, id dotterjob.ID) {
+func (b *Board) Cancel(now dotterclock.Millis, id dotterjob.ID, c Cancellation) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cancelled[id] = true
+	if _, known := b.cancelled[id]; !known {
+		b.cancelled[id] = c
+	}
 	b.applyCancellation(now, id)
 }
 
@@ -138,7 +155,13 @@
 }
 
 func (b *Board) applyCancellation(now dotterclock.Millis, id dotterjob.ID) {
-	if j, ok := b.jobs[id]; ok && b.cancelled[id] && j.outcome == "" && !j.leaving {
+	j, ok := b.jobs[id]
+	c, cancelled := b.cancelled[id]
+	switch {
+	case !ok || !cancelled || j.outcome != "" || j.leaving:
+	case c.Failed != "":
+		b.finish(now, j, dotterjob.Failed, c.Failed)
+	default:
 		b.finish(now, j, dotterjob.Cancelled, "cancelled by its caller")
 	}
 }
@@ -246,7 +269,8 @@
 
 // finish sets a job's outcome and, unless the job is completed, stops its runs.
 func (b *Board) finish(now dotterclock.Millis, j *job, outcome dotterjob.State, reason string) {
-	j.outcome, j.outcomeAt = outcome, now
+	j.outcome, j.outcomeAt, j.reason = outcome, now, reason
+	_, j.announced = b.cancelled[j.ID]
 	b.counters.Outcomes[outcome]++
 	b.logger.Info("job decided", zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
 		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
@@ -277,7 +301,8 @@
 func (b *Board) bind(t *task, w *worker) {
 	t.run++
 	t.phase, t.worker = bound, w
-	t.sentAt, t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, 0, false, 0
+	t.sentAt, t.atWorkSince = 0, 0
+	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overTargetSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
@@ -307,7 +332,7 @@
 func (b *Board) markLost(now dotterclock.Millis, t *task, reason string) {
 	b.counters.Lost++
 	b.logger.Info("run lost", b.runFields(t, zap.String("Reason", reason), zap.Int64("HeardMsAgo", int64(now-t.worker.heardAt)),
-		zap.Bool("Contacted", t.worker.contacted), zap.Int64("AgeWhenHeardMs", int64(t.worker.heardAt-t.sentAt)))...)
+		zap.Bool("Contacted", t.worker.contacted), zap.Int64("AliveMsAgo", int64(now-t.worker.aliveAt())), zap.Int64("AgeWhenAliveMs", int64(t.worker.aliveAt()-t.sentAt)))...)
 	b.release(t)
 }
 
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -19,6 +19,7 @@
 	Rankings       int64 // rankings of all workers for a step
 	Excluded       int64 // jobs that are left as they are stored, because they cannot be handled
 	Panics         int64 // contained panics that belong to no single job
+	Crashes        int64 // crashes of workers that were counted against a task
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
 }
--- /dev/null
+++ b/internal/job/dotterboard/crash.go
@@ -0,0 +1,221 @@
+package dotterboard
+
+import (
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+)
+
+const (
+	// soundAge is the age from which a run is not to blame for a crash of its worker. A task
+	// that crashes workers does so as it starts.
+	soundAge = 500 * dotterclock.Millisecond
+	// inheritedSoundAge is the same for a run of a previous owner on a worker that has not
+	// answered this one. It covers the takeover, which may lie between the crash and the
+	// first call to the worker.
+	inheritedSoundAge = 3 * dotterclock.Second
+	// immediateAge is the age up to which a crash is no coincidence. It covers the answer to
+	// the start and the pause between two renewals, after which a closed connection is noticed.
+	immediateAge = 60 * dotterclock.Millisecond
+)
+
+// Weights of a crash as evidence against a task. The platform tolerates five crashes under
+// one task, some of which no owner may have seen.
+const (
+	immediateWeight = 5 // within immediateAge of the start
+	youngWeight     = 3 // at another time before soundAge, or at an unknown one
+	unprovedLoss    = 1 // less if no other incarnation has answered: the worker may be cut off
+	// crashLimit is the weight for which a task is given up: three immediate crashes, or five
+	// young ones.
+	crashLimit = 3 * immediateWeight
+	// unrelatedCrashLimit is the same while workers crash under which nothing had just
+	// started: four immediate crashes, or two and three young ones.
+	unrelatedCrashLimit = 2*immediateWeight + 3*youngWeight
+)
+
+const (
+	// coincidenceWindow is the time within which closed connections count as simultaneous.
+	coincidenceWindow = 100 * dotterclock.Millisecond
+	// minUnrelatedClosures is how many workers without a young run have to close their
+	// connections at the same time for a cause outside the tasks.
+	minUnrelatedClosures = 2
+	// closureRetention is how long closures are remembered. It is longer than it takes to
+	// give a task up.
+	closureRetention = 60 * dotterclock.Second
+)
+
+// Crash is the crash of a worker under a run of a task that had just started there.
+type Crash struct {
+	Worker    string
+	Weight    int  // as evidence against the task
+	Unrelated bool `json:",omitempty"` // workers under which nothing had just started crashed lately
+}
+
+// crashes are the crashes under runs of a task since the last one that was sound.
+type crashes []Crash
+
+// with returns a copy with one more crash.
+func (c crashes) with(crash Crash) crashes {
+	return append(slices.Clip(slices.Clone(c)), crash)
+}
+
+// weight returns the evidence against the task.
+func (c crashes) weight() int {
+	sum := 0
+	for _, crash := range c {
+		sum += crash.Weight
+	}
+	return sum
+}
+
+// limit returns the weight for which the task is given up.
+func (c crashes) limit() int {
+	if slices.ContainsFunc(c, func(crash Crash) bool { return crash.Unrelated }) {
+		return unrelatedCrashLimit
+	}
+	return crashLimit
+}
+
+// String returns the IDs of the workers.
+func (c crashes) String() string {
+	var ids []string
+	for _, crash := range c {
+		ids = append(ids, crash.Worker)
+	}
+	return strings.Join(ids, ", ")
+}
+
+// closure is the end of the connections to a worker.
+type closure struct {
+	worker    string
+	at        dotterclock.Millis
+	unrelated bool // none of the worker's runs had just started
+}
+
+// isSuspect reports whether the task has to be kept apart from other suspects until one of
+// its runs is sound.
+func (t *task) isSuspect() bool {
+	return len(t.crashes) > 0
+}
+
+// isYoung reports whether the run may have reached the worker and nothing shows that it was
+// at work there for soundAge.
+func (t *task) isYoung(w *worker) bool {
+	switch {
+	case t.sentAt == 0:
+		return false
+	case t.isUnseen(w):
+		// A suspect that had become sound would have been cleared.
+		return t.isSuspect() || w.unansweredSince != 0 && w.unansweredSince-t.sentAt < inheritedSoundAge
+	}
+	return t.atWorkSince == 0 || w.aliveAt()-t.atWorkSince < soundAge
+}
+
+// isUnseen reports whether this owner knows nothing of the run but its binding.
+func (t *task) isUnseen(w *worker) bool {
+	return t.phase == inherited && !w.contacted
+}
+
+// crashWeight returns the weight of the worker's crash as evidence against the task, whose
+// run is young.
+func (t *task) crashWeight(w *worker, proved bool) int {
+	weight := youngWeight
+	if !t.isUnseen(w) && w.closedAt != 0 && w.closedAt-max(t.sentAt, t.atWorkSince) <= immediateAge {
+		weight = immediateWeight
+	}
+	if !proved {
+		weight -= unprovedLoss
+	}
+	return weight
+}
+
+// aliveAt returns the last instant at which the worker is known to have run.
+func (w *worker) aliveAt() dotterclock.Millis {
+	return max(w.heardAt, w.closedAt)
+}
+
+// hasSuspect reports whether a suspect is bound to the worker.
+func (w *worker) hasSuspect() bool {
+	for _, t := range w.runs {
+		if t.isSuspect() {
+			return true
+		}
+	}
+	return false
+}
+
+// noteClosed records that a worker closed its connections.
+func (b *Board) noteClosed(now dotterclock.Millis, w *worker) {
+	w.closedAt = now
+	if !w.contacted || w.Draining {
+		return // it closed them at an unknown time, or as announced
+	}
+	unrelated := true
+	for _, t := range w.runs {
+		unrelated = unrelated && !t.isYoung(w)
+	}
+	b.closures = slices.DeleteFunc(b.closures, func(c closure) bool { return now-c.at > closureRetention })
+	b.closures = append(b.closures, closure{w.ID, now, unrelated})
+}
+
+// noteReopened forgets the closure of a worker that has not crashed.
+func (b *Board) noteReopened(w *worker) {
+	if w.closedAt != 0 {
+		b.closures = slices.DeleteFunc(b.closures, func(c closure) bool { return c.worker == w.ID })
+		w.closedAt = 0
+	}
+}
+
+// unrelatedClosures returns how many workers on which nothing had just started closed their
+// connections, in all and together with this one.
+func (b *Board) unrelatedClosures(w *worker) (all, together int) {
+	for _, c := range b.closures {
+		if !c.unrelated {
+			continue
+		}
+		all++
+		if w.contacted && max(c.at-w.closedAt, w.closedAt-c.at) <= coincidenceWindow {
+			together++
+		}
+	}
+	return all, together
+}
+
+// recordCrash counts the end of the worker against the task, once a run, unless the run was
+// sound or something else explains the end. It fails the job of a task that is given up.
+func (b *Board) recordCrash(now dotterclock.Millis, w *worker, t *task, proved bool) {
+	j := t.job()
+	if t.crashedRun == t.run || j.outcome != "" || !t.isYoung(w) {
+		return
+	}
+	t.crashedRun = t.run
+	all, together := b.unrelatedClosures(w)
+	weight := t.crashWeight(w, proved)
+	if w.Draining || together >= minUnrelatedClosures {
+		weight = 0
+	} else {
+		t.crashes = t.crashes.with(Crash{Worker: w.ID, Weight: weight, Unrelated: all > 0})
+		b.counters.Crashes++
+		b.markDirty(j)
+	}
+	b.logger.Warn("worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
+		zap.Int("Limit", t.crashes.limit()), zap.Bool("Proved", proved), zap.Int64("SentMsBefore", int64(w.aliveAt()-t.sentAt)), zap.Bool("Inherited", t.isUnseen(w)),
+		zap.Bool("Draining", w.Draining), zap.Int("UnrelatedCrashes", all), zap.Int("AtTheSameTime", together), zap.String("Workers", t.crashes.String()))...)
+	if t.crashes.weight() >= t.crashes.limit() {
+		b.finish(now, j, dotterjob.Failed, "task "+t.id().String()+" crashed the workers "+t.crashes.String()+" as it started")
+	}
+}
+
+// clearIfSound forgets the crashes under earlier runs of the task once a run is sound.
+func (b *Board) clearIfSound(t *task) {
+	if !t.isSuspect() || t.isYoung(t.worker) {
+		return
+	}
+	b.logger.Info("suspect cleared", b.runFields(t, zap.String("Workers", t.crashes.String()))...)
+	t.crashes = nil
+	b.markDirty(t.job())
+}
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -22,6 +22,8 @@
 	criticalPath    dotterclock.Millis // length of its critical path, as declared
 	outcome         dotterjob.State    // final state, not necessarily stored yet; empty: not final
 	outcomeAt       dotterclock.Millis
+	reason          string             // of the outcome
+	announced       bool               // its cancellation is stored
 	storedOutcome   dotterjob.State    // final state once it is stored; empty before
 	begun           bool               // whether a task has started
 	runs            int                // number of bound tasks
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -1,8 +1,11 @@
 package dotterboard
 
 import (
+	"errors"
+
 	"go.uber.org/zap"
 
+	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
@@ -54,6 +57,9 @@
 	}
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
+		if errors.Is(err, dotterelusher.ErrWorkerClosed) {
+			b.noteClosed(now, w)
+		}
 		b.logger.Warn("worker does not answer", zap.String("Worker", id), zap.String("FailureDomain", w.FailureDomain), zap.String("Rack", w.Rack), zap.Int("Runs", len(w.runs)),
 			zap.Int64("HeardMsAgo", int64(now-w.heardAt)), zap.Error(err))
 	}
@@ -92,10 +98,12 @@
 	}
 	if w.StartedAt != l.StartedAt {
 		b.handleRestart(now, w, l.StartedAt)
+		w.closedAt = 0
 	}
 	if !w.contacted {
 		w.leaseUntil = max(w.leaseUntil, l.Clock+b.settings.LeaseDuration) // the previous owner may have just renewed it
 	}
+	b.noteReopened(w)
 	w.contacted, w.unansweredSince, w.mayHaveRestarted, w.heardAt = true, 0, false, now
 	w.clock, w.clockAt = l.Clock, now
 	w.load = nil
@@ -145,6 +153,9 @@
 	}
 	b.logger.Info("worker restarted", zap.String("Worker", w.ID), zap.Int("Runs", len(w.runs)), zap.Int64("Born", int64(startedAt)))
 	for _, t := range w.runs {
+		if t.mayHaveReachedWorker() && (t.phase != running || t.workerStartedAt == previousStartedAt) {
+			b.recordCrash(now, w, t, true)
+		}
 		switch {
 		case t.phase == running && t.workerStartedAt == previousStartedAt:
 			b.markLost(now, t, "the worker restarted")
@@ -169,6 +180,7 @@
 	w.resetAfterRestart(0)
 	for _, t := range w.runs {
 		if t.mayHaveReachedWorker() {
+			b.recordCrash(now, w, t, true)
 			b.markLost(now, t, "another incarnation answers at the worker's address")
 		}
 	}
@@ -186,6 +198,7 @@
 		b.markRunning(now, t)
 	}
 	t.workerStartedAt = w.StartedAt
+	b.clearIfSound(t)
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
@@ -204,6 +217,10 @@
 
 // markRunning records that the worker has started the run.
 func (b *Board) markRunning(now dotterclock.Millis, t *task) {
+	t.atWorkSince = now
+	if t.phase == inherited && t.sentAt != 0 {
+		t.atWorkSince = t.sentAt
+	}
 	t.phase = running
 	if t.answeredAt == 0 {
 		t.answeredAt = now
@@ -238,6 +255,9 @@
 	case inherited:
 		// The renewal raised the epoch on the worker, which now refuses the previous owner's
 		// start.
+		if w.StartedAt > t.boundAt+b.wallOffset {
+			b.recordCrash(now, w, t, true)
+		}
 		b.markLost(now, t, "not listed after the takeover")
 	case ordered, running:
 		if t.answeredAt != 0 && t.answeredAt < sentAt {
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -82,12 +82,13 @@
 	blockedTicket              // not admitted by the queue's policy
 	blockedRack                // outside the rack on which the gang is being placed
 	blockedKept                // the free room is kept from new long-running tasks
+	blockedSuspect             // has a suspect, and the task is one too
 	blockedLoad                // a serving task there would exceed its load limit
 	obstacleKinds              // number of obstacles
 )
 
 // obstacleNames are the names of the obstacles in logs.
-var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Load"}
+var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Suspect", "Load"}
 
 // obstacle returns why the worker gets no task of the step, or noObstacle. blockedLoad
 // is left to score.
@@ -153,12 +154,18 @@
 	return strictLoadLimit + (relaxedLoadLimit-strictLoadLimit)*min(1, max(waited, b.backlog))
 }
 
-// choose returns the worker with the highest score for a task of the step, or nil.
-func (p *plan) choose(s *step) *worker {
-	r := p.rank(s)
+// choose returns the worker with the highest score for a member of a gang, or nil. Suspects
+// are kept apart if there are workers enough.
+func (p *plan) choose(t *task) *worker {
+	if t.isSuspect() {
+		if w := p.rankApart(t.step).best(); w != nil {
+			return w
+		}
+	}
+	r := p.rank(t.step)
 	w := r.best()
 	if w == nil {
-		p.board.logWaiting(p.now, s, r.obstacles)
+		p.board.logWaiting(p.now, t.step, r.obstacles)
 	}
 	return w
 }
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -51,6 +51,7 @@
 func (b *Board) Plan(now, wall dotterclock.Millis) dotterclock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.wallOffset = wall - now
 	b.reap(now)
 	b.observeKeptRoom(now)
 	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}}
@@ -269,6 +270,10 @@
 		if t.phase != waiting {
 			continue
 		}
+		if t.isSuspect() {
+			p.placeSuspect(t)
+			continue
+		}
 		w := r.best()
 		if w != nil && p.keepsRoomFrom(t, w) {
 			r.obstacles[blockedKept] = len(r.workers)
@@ -287,6 +292,18 @@
 	return true
 }
 
+// placeSuspect binds a suspect to a worker without another one, so that the next crash tells
+// which of them it was.
+func (p *plan) placeSuspect(t *task) {
+	r := p.rankApart(t.step)
+	w := r.best()
+	if w == nil {
+		p.board.logWaiting(p.now, t.step, r.obstacles)
+		return
+	}
+	p.bind(t, w)
+}
+
 const (
 	// starvationDelay is how long a job of filling tasks may have nothing running on a mostly
 	// idle pool. After that one task starts even if it overloads serving tasks. It is half
@@ -316,6 +333,7 @@
 		k.placed(p.now, t, w.free().MilliCores)
 	}
 	p.board.bind(t, w)
+	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
 }
 
@@ -346,7 +364,7 @@
 		run = max(run, t.run)
 	}
 	for i, t := range s.tasks {
-		w := p.choose(s)
+		w := p.choose(t)
 		if w == nil {
 			for _, placed := range s.tasks[:i] {
 				p.board.release(placed)
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 )
 
@@ -14,14 +15,25 @@
 	reserved  dotterroom.Room
 	workers   workerHeap
 	obstacles [obstacleKinds]int // number of workers ruled out, by reason
+	apart     bool               // for a suspect
 	starving  bool               // the load limit is ignored to end the starvation of the job
 }
 
 // rank scores all workers of the step's service for a task of the step. If none is
 // acceptable and the job is starving, the load limit is ignored.
 func (p *plan) rank(s *step) *ranking {
+	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved()})
+}
+
+// rankApart does the same for a suspect: workers with another suspect are ruled out, and those
+// with long-running tasks come last.
+func (p *plan) rankApart(s *step) *ranking {
+	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved(), apart: true})
+}
+
+func (p *plan) fill(r *ranking) *ranking {
+	s := r.step
 	p.board.counters.Rankings++
-	r := &ranking{plan: p, step: s, reserved: s.Reserved()}
 	for _, w := range p.workers[s.occurrence.job.queue.Service] {
 		if score, ok := r.score(w); ok {
 			r.workers = append(r.workers, scoredWorker{worker: w, score: score})
@@ -40,7 +52,7 @@
 	r.starving = true
 	for _, w := range r.plan.workers[r.step.occurrence.job.queue.Service] {
 		l := r.plan.load(w)
-		if r.plan.obstacle(l, r.step, r.reserved) == noObstacle {
+		if r.obstacle(l) == noObstacle {
 			highest, _ := r.plan.board.predictPeakLoad(r.plan.now, l, r.step)
 			r.workers = append(r.workers, scoredWorker{worker: w, score: -highest})
 		}
@@ -51,7 +63,7 @@
 // reason is counted in obstacles.
 func (r *ranking) score(w *worker) (float64, bool) {
 	l := r.plan.load(w)
-	if o := r.plan.obstacle(l, r.step, r.reserved); o != noObstacle {
+	if o := r.obstacle(l); o != noObstacle {
 		r.obstacles[o]++
 		return 0, false
 	}
@@ -59,9 +71,47 @@
 	if !ok {
 		r.obstacles[blockedLoad]++
 	}
+	if r.apart {
+		score -= r.exposure(w)
+	}
 	return score, ok
 }
 
+// obstacle returns why the worker gets no task, or noObstacle.
+func (r *ranking) obstacle(l *workerLoad) obstacle {
+	o := r.plan.obstacle(l, r.step, r.reserved)
+	if o == noObstacle && r.apart && l.worker.hasSuspect() {
+		return blockedSuspect
+	}
+	return o
+}
+
+const (
+	// lastingExposure is the cost in a worker's score for a suspect of each long-running task
+	// there. It outweighs how full the worker is.
+	lastingExposure = 1.0
+	// freshExposure is the same for a worker that has not been up for freshWorkerAge: workers
+	// that crash for other reasons do so again.
+	freshExposure = 20.0
+	// freshWorkerAge is the time that a worker has to be up for a suspect to prefer it.
+	freshWorkerAge = 10 * dotterclock.Second
+)
+
+// exposure returns what is at stake if the worker crashes under a suspect, and how little
+// that would tell.
+func (r *ranking) exposure(w *worker) float64 {
+	cost := 0.0
+	for _, t := range w.runs {
+		if t.step.LongRunning {
+			cost += lastingExposure
+		}
+	}
+	if w.StartedAt > 0 && r.plan.wall-w.StartedAt < freshWorkerAge {
+		cost += freshExposure
+	}
+	return cost
+}
+
 // best returns the worker with the highest score, or nil if there is none.
 func (r *ranking) best() *worker {
 	if len(r.workers) == 0 {
--- a/internal/job/dotterboard/reap.go
+++ b/internal/job/dotterboard/reap.go
@@ -21,6 +21,9 @@
 		if len(w.runs) > 0 && now >= w.leaseExpiresAt(b.settings, b.predecessorUntil) {
 			for _, t := range w.runs {
 				if t.mayHaveReachedWorker() {
+					if w.closedAt != 0 {
+						b.recordCrash(now, w, t, false)
+					}
 					b.markLost(now, t, "lease expired")
 				}
 			}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -33,21 +33,24 @@
 
 // TaskRecord is the progress of a task that differs from its initial state.
 type TaskRecord struct {
-	Index      int    `json:",omitempty"`
-	Done       bool   `json:",omitempty"`
-	Away       bool   `json:",omitempty"` // handed over to another shard
-	Run        int    `json:",omitempty"`
-	Failures   int    `json:",omitempty"`
-	Worker     string `json:",omitempty"` // to which the run is bound; empty: none
-	Address    string `json:",omitempty"` // of that worker, which may have left the directory when the record is read
-	Checkpoint string `json:",omitempty"`
+	Index      int     `json:",omitempty"`
+	Done       bool    `json:",omitempty"`
+	Away       bool    `json:",omitempty"` // handed over to another shard
+	Run        int     `json:",omitempty"`
+	Failures   int     `json:",omitempty"`
+	Worker     string  `json:",omitempty"` // to which the run is bound; empty: none
+	Address    string  `json:",omitempty"` // of that worker, which may have left the directory when the record is read
+	Checkpoint string  `json:",omitempty"`
+	Crashes    crashes `json:",omitempty"`
+
+	BoundAt dotterclock.Millis `json:",omitempty"` // time of day
 }
 
-func newRecord(j *job) Record {
+func (b *Board) newRecord(j *job) Record {
 	r := Record{Outcome: j.outcome, Begun: j.begun, Visiting: j.visiting, Moves: j.moves}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if step := newStepRecord(s, j.outcome != ""); step.Done || len(step.Tasks) > 0 {
+			if step := b.newStepRecord(s, j.outcome != ""); step.Done || len(step.Tasks) > 0 {
 				r.Steps = append(r.Steps, step)
 			}
 		}
@@ -57,7 +60,7 @@
 
 // newStepRecord returns the record of a step. For a job with a final state, it holds only
 // the tasks that are still bound.
-func newStepRecord(s *step, final bool) StepRecord {
+func (b *Board) newStepRecord(s *step, final bool) StepRecord {
 	r := StepRecord{Occurrence: s.occurrence.number, Step: s.number}
 	if s.done == s.Count {
 		r.Done = !final
@@ -69,10 +72,10 @@
 		}
 		task := TaskRecord{Index: t.index, Run: t.run, Away: t.phase == away}
 		if !final {
-			task.Done, task.Failures = t.phase == done, t.failures
+			task.Done, task.Failures, task.Crashes = t.phase == done, t.failures, t.crashes
 		}
 		if t.isBound() {
-			task.Worker, task.Address = t.worker.ID, t.worker.Address
+			task.Worker, task.Address, task.BoundAt = t.worker.ID, t.worker.Address, t.boundAt+b.wallOffset
 		}
 		if !task.Done && !final {
 			task.Checkpoint = t.checkpoint
@@ -151,7 +154,7 @@
 	}
 	for _, task := range r.Tasks {
 		t := s.tasks[task.Index]
-		t.run, t.failures, t.checkpoint = task.Run, task.Failures, task.Checkpoint
+		t.run, t.failures, t.checkpoint, t.crashes = task.Run, task.Failures, task.Checkpoint, task.Crashes
 		switch {
 		case task.Done:
 			b.restoreDone(t)
@@ -186,6 +189,10 @@
 	}
 	t.phase, t.worker = inherited, w
 	t.pace, t.paceWanted = 100, 100
+	if r.BoundAt != 0 {
+		t.boundAt = r.BoundAt - b.wallOffset
+		t.sentAt = t.boundAt
+	}
 	t.step.waiting--
 	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -32,8 +32,12 @@
 	worker     *worker // to which the task is bound; nil: none
 	checkpoint string
 	gangDone   bool
+	crashes    crashes
+	crashedRun int // the run for which a crash was last considered
 
-	sentAt          dotterclock.Millis // when the start order was sent; 0: it has not been, or by a previous owner
+	boundAt         dotterclock.Millis // when the run was bound
+	sentAt          dotterclock.Millis // when the start order was sent, of a previous owner's run when it was bound; 0: it has not been
+	atWorkSince     dotterclock.Millis // when the worker was first known to have started the run; 0: it is not
 	validUntil      dotterclock.Millis // end of the start order's validity, on the worker's clock
 	answeredAt      dotterclock.Millis // when the start was answered, timed out or was first listed; 0: not yet
 	stopAnsweredAt  dotterclock.Millis // when a stop of this run was last carried out; 0: never
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -31,7 +31,7 @@
 func (b *Board) handOverTasks(j *job, s *step, tasks []*task, to string) {
 	r := StepRecord{Occurrence: s.occurrence.number, Step: s.number}
 	for _, t := range tasks {
-		r.Tasks = append(r.Tasks, TaskRecord{Index: t.index, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint})
+		r.Tasks = append(r.Tasks, TaskRecord{Index: t.index, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint, Crashes: t.crashes})
 		t.setAway()
 	}
 	j.begun = true // the receiver does not report when the tasks start
@@ -50,7 +50,7 @@
 			tasks++
 		}
 	})
-	t := &Transfer{Job: j.Job, Home: true, Record: newRecord(j), To: to}
+	t := &Transfer{Job: j.Job, Home: true, Record: b.newRecord(j), To: to}
 	b.leave(j)
 	b.send(j, t, tasks)
 }
@@ -150,6 +150,9 @@
 	t.step.waiting++
 	t.job().away--
 	t.run, t.failures, t.checkpoint = max(t.run, r.Run), max(t.failures, r.Failures), r.Checkpoint
+	if len(r.Crashes) > len(t.crashes) {
+		t.crashes = r.Crashes
+	}
 	if r.Done {
 		b.restoreDone(t)
 	}
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -21,6 +21,7 @@
 	resolved    *prometheus.Desc
 	transferred *prometheus.Desc
 	excluded    *prometheus.Desc
+	crashes     *prometheus.Desc
 	panics      *prometheus.Desc
 }
 
@@ -41,6 +42,7 @@
 		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
 		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
+		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
 	}
@@ -86,6 +88,7 @@
 		counter(c.transferred, s.HandedOver, shard, "Sent")
 		counter(c.transferred, s.Absorbed, shard, "Received")
 		counter(c.excluded, s.Excluded, shard)
+		counter(c.crashes, s.Crashes, shard)
 		counter(c.panics, s.Panics, shard)
 	}
 }
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -73,6 +73,7 @@
 	startedAt := o.clock.Now()
 	c := o.configuration.Load()
 	b := dotterboard.New(o.settings.Board, committer.Epoch(), startedAt, committer.PredecessorExpiry(), o.logger)
+	b.SetTimeOfDay(startedAt, wallTime())
 	b.Configure(c.document, c.outDomains)
 	planChanges, commitChanges := b.Subscribe(), b.Subscribe()
 	revision, err := o.load(ctx, b)
@@ -361,8 +362,10 @@
 			puts = append(puts, dotterkey.Entry{Key: dotterentry.HomeKey(t.Job.ID), Value: []byte(t.To)})
 		}
 	}
-	for _, id := range batch.Cancelled {
-		puts = append(puts, dotterkey.Entry{Key: dotterentry.CancelKey(id), Value: []byte("{}")})
+	for id, c := range batch.Cancelled {
+		if err := put(dotterentry.CancelKey(id), c); err != nil {
+			return nil, nil, err
+		}
 	}
 	deletes = append(deletes, batch.Absorbed...)
 	for _, id := range append(batch.Dropped, batch.Expired...) {
@@ -453,7 +456,11 @@
 // Reset implements dotterreplica.Sink.
 func (s cancelSink) Reset(entries []dotterkey.Entry) {
 	for _, e := range entries {
-		s.board.Cancel(s.clock.Now(), dotterentry.ParseCancelKey(e.Key))
+		var c dotterboard.Cancellation
+		if err := json.Unmarshal(e.Value, &c); err != nil {
+			s.logger.Warn("cancellation not decoded, taken for the caller's", zap.String("Key", e.Key), zap.Int64("Version", int64(e.Version)), zap.Error(err))
+		}
+		s.board.Cancel(s.clock.Now(), dotterentry.ParseCancelKey(e.Key), c)
 	}
 }
 
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -336,12 +336,12 @@
 	return w.renew(n), nil
 }
 
-// endGang ends the other runs of a gang of which one is done: its members finish together.
-func (p *Pool) endGang(done *run, at dotterclock.Millis) {
+// endGang ends the other runs of a gang of which one has ended: its members end together.
+func (p *Pool) endGang(done *run, ending dotterrun.Ending, at dotterclock.Millis) {
 	for _, w := range p.workers {
 		for _, r := range w.running {
 			if r.Run == done.Run && r.Task.Job == done.Task.Job && r.Task.Occurrence == done.Task.Occurrence && r.Task.Step == done.Task.Step {
-				w.end(r, dotterrun.Done, at)
+				w.end(r, ending, at)
 			}
 		}
 	}
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -86,7 +86,7 @@
 	w.ended = append(w.ended, dotterrun.End{Number: w.lastEndNumber, Ref: r.Ref, Ending: ending, Checkpoint: checkpoint})
 	w.pool.recordEnd(w, r, ending, at)
 	if s, ok := w.pool.stepOf(r.Task); ok && s.Gang && ending == dotterrun.Done {
-		w.pool.endGang(r, at)
+		w.pool.endGang(r, dotterrun.Done, at)
 	}
 }
 
@@ -163,7 +163,16 @@
 
 // crash ends all runs, discards all state and answers no more.
 func (w *Worker) crash() {
+	var gangs []*run
+	for _, r := range w.running {
+		if s, ok := w.pool.stepOf(r.Task); ok && s.Gang {
+			gangs = append(gangs, r)
+		}
+	}
 	w.restart()
+	for _, r := range gangs {
+		w.pool.endGang(r, dotterrun.Broken, w.pool.clock.Now())
+	}
 	w.crashed = true
 	if w.pool.returnAfter > 0 {
 		w.pool.returns = append(w.pool.returns, returning{w.ID, w.pool.clock.Now() + w.pool.returnAfter})
--- a/workers.go
+++ b/workers.go
@@ -8,7 +8,7 @@
 )
 
 // RunClient sends the orders of a shard's owner to workers. Its errors are
-// ErrWorkerUnreachable and ErrWorkerIndeterminate. An order that got no answer may
+// ErrWorkerUnreachable and ErrWorkerIndeterminate, either of them perhaps with ErrWorkerClosed. An order that got no answer may
 // still be executed later, even after newer orders. A refusal is not an error.
 type RunClient interface {
 	// Start starts a run. It is idempotent for the same run.
