--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -169,6 +169,23 @@
 	s.requireNoViolations()
 }
 
+// TestSuspectsKeepTheLimitPerWorker guards against ranking the workers for a step once and
+// then placing suspects of the step by another ranking.
+func TestSuspectsKeepTheLimitPerWorker(t *testing.T) {
+	s := newShard(t, 4)
+	s.run(200)
+	spread := tasks(6, 60_000) // two of them wait
+	spread.PerWorker = 1
+	id := s.submit(1, spread)
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 4 })
+	s.pool.Crash("w00")
+	s.run(7000) // until its lease has expired
+	s.pool.Add(testWorker(4))
+	s.run(1000)
+	assert.Len(t, s.workersOf(id), 4)
+	s.requireNoViolations()
+}
+
 // TestTaskGivenUpAwayFromHome guards against a job whose state its home does not learn of,
 // because the task that crashes workers was handed over to another shard.
 func TestTaskGivenUpAwayFromHome(t *testing.T) {
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -266,12 +266,16 @@
 	if p.fitsBetterElsewhere(s, r) {
 		return true
 	}
+	all := p.placeRanked(s, r)
+	p.placeSuspects(s)
+	return all
+}
+
+// placeRanked binds the tasks of the step that are not suspect to the ranked workers. It
+// reports whether all were bound.
+func (p *plan) placeRanked(s *step, r *ranking) bool {
 	for _, t := range s.tasks {
-		if t.phase != waiting {
-			continue
-		}
-		if t.isSuspect() {
-			p.placeSuspect(t)
+		if t.phase != waiting || t.isSuspect() {
 			continue
 		}
 		w := r.best()
@@ -292,16 +296,22 @@
 	return true
 }
 
-// placeSuspect binds a suspect to a worker without another one, so that the next crash tells
-// which of them it was.
-func (p *plan) placeSuspect(t *task) {
-	r := p.rankApart(t.step)
-	w := r.best()
-	if w == nil {
-		p.board.logWaiting(p.now, t.step, r.obstacles)
-		return
+// placeSuspects binds each suspect of the step to a worker without another one, so that the
+// next crash tells which of them it was. Each has a ranking of its own, since the ones before
+// it have changed the workers.
+func (p *plan) placeSuspects(s *step) {
+	for _, t := range s.tasks {
+		if t.phase != waiting || !t.isSuspect() {
+			continue
+		}
+		r := p.rankApart(s)
+		w := r.best()
+		if w == nil {
+			p.board.logWaiting(p.now, s, r.obstacles)
+			return
+		}
+		p.bind(t, w)
 	}
-	p.bind(t, w)
 }
 
 const (
--- a/internal/standin/dotterstandpool/history.go
+++ b/internal/standin/dotterstandpool/history.go
@@ -82,11 +82,25 @@
 		}
 		p.addViolation("%s was started on %s and exceeds its capacity, beside %v", r.Task, w.ID, beside)
 	}
+	if beside := p.besideOnWorker(w, r); step.PerWorker > 0 && beside >= step.PerWorker {
+		p.addViolation("%s was started on %s beside %d others of its step, which may have %d on a worker", r.Task, w.ID, beside, step.PerWorker)
+	}
 	if !w.HasLabel(step.Label) {
 		p.addViolation("%s was started on %s, which does not have the label %s", r.Task, w.ID, step.Label)
 	}
 }
 
+// besideOnWorker returns how many other runs of the run's step are active on the worker.
+func (p *Pool) besideOnWorker(w *Worker, r *run) int {
+	beside := 0
+	for _, other := range w.running {
+		if t := other.Task; t.Job == r.Task.Job && t.Occurrence == r.Task.Occurrence && t.Step == r.Task.Step && t != r.Task {
+			beside++
+		}
+	}
+	return beside
+}
+
 // openTasks returns the tasks of a step that are not done. A gang works as one: it is done
 // when a member is.
 func (p *Pool) openTasks(j dotterjob.Job, occurrence, step int) []dotterjob.TaskID {
