--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -27,6 +27,7 @@
 // one task, some of which no owner may have seen.
 const (
 	immediateWeight = 5 // within immediateAge of the start
+	inheritedWeight = 4 // at an unknown time, under a run of a suspect that no owner has found sound
 	youngWeight     = 3 // at another time before soundAge, or at an unknown one
 	unprovedLoss    = 1 // less if no other incarnation has answered: the worker may be cut off
 	// crashLimit is the weight for which a task is given up: three immediate crashes, or five
@@ -124,7 +125,10 @@
 // run is young.
 func (t *task) crashWeight(w *worker, proved bool) int {
 	weight := youngWeight
-	if !t.isUnseen(w) && w.closedAt != 0 && w.closedAt-max(t.sentAt, t.atWorkSince) <= immediateAge {
+	switch {
+	case t.isUnseen(w) && t.isSuspect():
+		weight = inheritedWeight
+	case !t.isUnseen(w) && w.closedAt != 0 && w.closedAt-max(t.sentAt, t.atWorkSince) <= immediateAge:
 		weight = immediateWeight
 	}
 	if !proved {
