--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -301,7 +301,7 @@
 func (b *Board) bind(t *task, w *worker) {
 	t.run++
 	t.phase, t.worker = bound, w
-	t.sentAt, t.atWorkSince = 0, 0
+	t.sentAt, t.atWorkSince, t.inheritedWeight = 0, 0, 0
 	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, false, 0
 	t.progress, t.used, t.tail, t.overTargetSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -29,6 +29,7 @@
 	immediateWeight = 5 // within immediateAge of the start
 	inheritedWeight = 4 // at an unknown time, under a run of a suspect that no owner has found sound
 	youngWeight     = 3 // at another time before soundAge, or at an unknown one
+	sharedWeight    = 1 // together with workers on which nothing had just started
 	unprovedLoss    = 1 // less if no other incarnation has answered: the worker may be cut off
 	// crashLimit is the weight for which a task is given up: three immediate crashes, or five
 	// young ones.
@@ -97,12 +98,18 @@
 	unrelated bool // none of the worker's runs had just started
 }
 
-// isSuspect reports whether the task has to be kept apart from other suspects until one of
-// its runs is sound.
+// isSuspect reports whether a worker has crashed under the task and no run has been sound
+// since.
 func (t *task) isSuspect() bool {
 	return len(t.crashes) > 0
 }
 
+// keepApart reports whether the task must not share a worker with others of its kind, so
+// that the next crash tells which of them it was.
+func (t *task) keepApart() bool {
+	return t.crashes.weight() > sharedWeight
+}
+
 // isYoung reports whether the run may have reached the worker and nothing shows that it was
 // at work there for soundAge.
 func (t *task) isYoung(w *worker) bool {
@@ -111,7 +118,7 @@
 		return false
 	case t.isUnseen(w):
 		// A suspect that had become sound would have been cleared.
-		return t.isSuspect() || w.unansweredSince != 0 && w.unansweredSince-t.sentAt < inheritedSoundAge
+		return t.isSuspect() || t.inheritedWeight > 0 || w.unansweredSince != 0 && w.unansweredSince-t.sentAt < inheritedSoundAge
 	}
 	return t.atWorkSince == 0 || w.aliveAt()-t.atWorkSince < soundAge
 }
@@ -121,20 +128,21 @@
 	return t.phase == inherited && !w.contacted
 }
 
-// crashWeight returns the weight of the worker's crash as evidence against the task, whose
-// run is young.
-func (t *task) crashWeight(w *worker, proved bool) int {
-	weight := youngWeight
+// crashWeight returns the weight of a proved crash of the worker as evidence against the task,
+// whose run is young.
+func (b *Board) crashWeight(w *worker, t *task) int {
+	_, together := b.unrelatedClosures(w)
 	switch {
+	case t.isUnseen(w) && t.inheritedWeight > 0:
+		return t.inheritedWeight
+	case together >= minUnrelatedClosures:
+		return sharedWeight
 	case t.isUnseen(w) && t.isSuspect():
-		weight = inheritedWeight
+		return inheritedWeight
 	case !t.isUnseen(w) && w.closedAt != 0 && w.closedAt-max(t.sentAt, t.atWorkSince) <= immediateAge:
-		weight = immediateWeight
-	}
-	if !proved {
-		weight -= unprovedLoss
+		return immediateWeight
 	}
-	return weight
+	return youngWeight
 }
 
 // aliveAt returns the last instant at which the worker is known to have run.
@@ -142,17 +150,18 @@
 	return max(w.heardAt, w.closedAt)
 }
 
-// hasSuspect reports whether a suspect is bound to the worker.
-func (w *worker) hasSuspect() bool {
+// hasKeptApart reports whether a task that is kept apart is bound to the worker.
+func (w *worker) hasKeptApart() bool {
 	for _, t := range w.runs {
-		if t.isSuspect() {
+		if t.keepApart() {
 			return true
 		}
 	}
 	return false
 }
 
-// noteClosed records that a worker closed its connections.
+// noteClosed records that a worker closed its connections. Its young runs are stored again,
+// with the weight that the crash will have once it is proved, perhaps to a successor.
 func (b *Board) noteClosed(now dotterclock.Millis, w *worker) {
 	w.closedAt = now
 	if !w.contacted || w.Draining {
@@ -160,12 +169,28 @@
 	}
 	unrelated := true
 	for _, t := range w.runs {
-		unrelated = unrelated && !t.isYoung(w)
+		if t.isYoung(w) {
+			unrelated = false
+			b.markDirty(t.job())
+		}
 	}
 	b.closures = slices.DeleteFunc(b.closures, func(c closure) bool { return now-c.at > closureRetention })
 	b.closures = append(b.closures, closure{w.ID, now, unrelated})
 }
 
+// pendingWeight returns the weight of the worker's crash for a successor's use, or 0 if the
+// worker is not known to have crashed or the run was sound.
+func (b *Board) pendingWeight(t *task) int {
+	w := t.worker
+	switch {
+	case t.isUnseen(w):
+		return t.inheritedWeight
+	case w.closedAt == 0 || w.Draining || !t.isYoung(w):
+		return 0
+	}
+	return b.crashWeight(w, t)
+}
+
 // noteReopened forgets the closure of a worker that has not crashed.
 func (b *Board) noteReopened(w *worker) {
 	if w.closedAt != 0 {
@@ -190,7 +215,7 @@
 }
 
 // recordCrash counts the end of the worker against the task, once a run, unless the run was
-// sound or something else explains the end. It fails the job of a task that is given up.
+// sound or the worker was draining. It fails the job of a task that is given up.
 func (b *Board) recordCrash(now dotterclock.Millis, w *worker, t *task, proved bool) {
 	j := t.job()
 	if t.crashedRun == t.run || j.outcome != "" || !t.isYoung(w) {
@@ -198,10 +223,12 @@
 	}
 	t.crashedRun = t.run
 	all, together := b.unrelatedClosures(w)
-	weight := t.crashWeight(w, proved)
-	if w.Draining || together >= minUnrelatedClosures {
-		weight = 0
-	} else {
+	weight := 0
+	if !w.Draining {
+		weight = b.crashWeight(w, t)
+		if !proved {
+			weight -= unprovedLoss
+		}
 		t.crashes = t.crashes.with(Crash{Worker: w.ID, Weight: weight, Unrelated: all > 0})
 		b.counters.Crashes++
 		b.markDirty(j)
--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -36,6 +36,7 @@
 		"gang":                                 {step: gang, returns: 3300},
 		"owner replaced after each start":      {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.run(50); s.takeOver(1200) }},
 		"owner replaced at each start":         {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.takeOver(0) }},
+		"owner replaced long after each crash": {step: tasks(2, 400), returns: 5000, disturb: func(s *shard) { s.run(4500); s.takeOver(1200) }},
 		"start not answered":                   {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.loseNextAnswers() }},
 	}
 	for name, tc := range tests {
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -221,7 +221,7 @@
 	if t.phase == inherited && t.sentAt != 0 {
 		t.atWorkSince = t.sentAt
 	}
-	t.phase = running
+	t.phase, t.inheritedWeight = running, 0
 	if t.answeredAt == 0 {
 		t.answeredAt = now
 	}
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -157,7 +157,7 @@
 // choose returns the worker with the highest score for a member of a gang, or nil. Suspects
 // are kept apart if there are workers enough.
 func (p *plan) choose(t *task) *worker {
-	if t.isSuspect() {
+	if t.keepApart() {
 		if w := p.rankApart(t.step).best(); w != nil {
 			return w
 		}
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -275,7 +275,7 @@
 // reports whether all were bound.
 func (p *plan) placeRanked(s *step, r *ranking) bool {
 	for _, t := range s.tasks {
-		if t.phase != waiting || t.isSuspect() {
+		if t.phase != waiting || t.keepApart() {
 			continue
 		}
 		w := r.best()
@@ -301,7 +301,7 @@
 // it have changed the workers.
 func (p *plan) placeSuspects(s *step) {
 	for _, t := range s.tasks {
-		if t.phase != waiting || !t.isSuspect() {
+		if t.phase != waiting || !t.keepApart() {
 			continue
 		}
 		r := p.rankApart(s)
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -80,7 +80,7 @@
 // obstacle returns why the worker gets no task, or noObstacle.
 func (r *ranking) obstacle(l *workerLoad) obstacle {
 	o := r.plan.obstacle(l, r.step, r.reserved)
-	if o == noObstacle && r.apart && l.worker.hasSuspect() {
+	if o == noObstacle && r.apart && l.worker.hasKeptApart() {
 		return blockedSuspect
 	}
 	return o
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -44,6 +44,7 @@
 	Crashes    crashes `json:",omitempty"`
 
 	BoundAt dotterclock.Millis `json:",omitempty"` // time of day
+	Pending int                `json:",omitempty"` // weight of the worker's crash once it is proved
 }
 
 func (b *Board) newRecord(j *job) Record {
@@ -75,7 +76,8 @@
 			task.Done, task.Failures, task.Crashes = t.phase == done, t.failures, t.crashes
 		}
 		if t.isBound() {
-			task.Worker, task.Address, task.BoundAt = t.worker.ID, t.worker.Address, t.boundAt+b.wallOffset
+			task.Worker, task.Address = t.worker.ID, t.worker.Address
+			task.BoundAt, task.Pending = t.boundAt+b.wallOffset, b.pendingWeight(t)
 		}
 		if !task.Done && !final {
 			task.Checkpoint = t.checkpoint
@@ -191,7 +193,7 @@
 	t.pace, t.paceWanted = 100, 100
 	if r.BoundAt != 0 {
 		t.boundAt = r.BoundAt - b.wallOffset
-		t.sentAt = t.boundAt
+		t.sentAt, t.inheritedWeight = t.boundAt, r.Pending
 	}
 	t.step.waiting--
 	t.job().runs++
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -35,6 +35,8 @@
 	crashes    crashes
 	crashedRun int // the run for which a crash was last considered
 
+	inheritedWeight int // of a previous owner's run: see Board.pendingWeight
+
 	boundAt         dotterclock.Millis // when the run was bound
 	sentAt          dotterclock.Millis // when the start order was sent, of a previous owner's run when it was bound; 0: it has not been
 	atWorkSince     dotterclock.Millis // when the worker was first known to have started the run; 0: it is not
