--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -29,7 +29,7 @@
 	immediateWeight = 5 // within immediateAge of the start
 	inheritedWeight = 4 // at an unknown time, under a run of a suspect that no owner has found sound
 	youngWeight     = 3 // at another time before soundAge, or at an unknown one
-	sharedWeight    = 1 // together with workers on which nothing had just started
+	sharedLoss      = 2 // less if workers on which nothing had just started crashed at the same time
 	unprovedLoss    = 1 // less if no other incarnation has answered: the worker may be cut off
 	// crashLimit is the weight for which a task is given up: three immediate crashes, or five
 	// young ones.
@@ -107,7 +107,7 @@
 // keepApart reports whether the task must not share a worker with others of its kind, so
 // that the next crash tells which of them it was.
 func (t *task) keepApart() bool {
-	return t.crashes.weight() > sharedWeight
+	return t.crashes.weight() >= youngWeight-unprovedLoss
 }
 
 // isYoung reports whether the run may have reached the worker and nothing shows that it was
@@ -131,18 +131,19 @@
 // crashWeight returns the weight of a proved crash of the worker as evidence against the task,
 // whose run is young.
 func (b *Board) crashWeight(w *worker, t *task) int {
-	_, together := b.unrelatedClosures(w)
+	weight := youngWeight
 	switch {
 	case t.isUnseen(w) && t.inheritedWeight > 0:
 		return t.inheritedWeight
-	case together >= minUnrelatedClosures:
-		return sharedWeight
 	case t.isUnseen(w) && t.isSuspect():
-		return inheritedWeight
+		weight = inheritedWeight
 	case !t.isUnseen(w) && w.closedAt != 0 && w.closedAt-max(t.sentAt, t.atWorkSince) <= immediateAge:
-		return immediateWeight
+		weight = immediateWeight
 	}
-	return youngWeight
+	if _, together := b.unrelatedClosures(w); together >= minUnrelatedClosures {
+		weight -= sharedLoss
+	}
+	return weight
 }
 
 // aliveAt returns the last instant at which the worker is known to have run.
--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 )
 
 // firstTask returns the ID of the first task of the job.
@@ -37,6 +38,7 @@
 		"owner replaced after each start":      {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.run(50); s.takeOver(1200) }},
 		"owner replaced at each start":         {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.takeOver(0) }},
 		"owner replaced long after each crash": {step: tasks(2, 400), returns: 5000, disturb: func(s *shard) { s.run(4500); s.takeOver(1200) }},
+		"others crash at the same time":        {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.crashOthers(firstTask("0000000000000001"), 2) }},
 		"start not answered":                   {step: tasks(2, 400), returns: 3300, disturb: func(s *shard) { s.loseNextAnswers() }},
 	}
 	for name, tc := range tests {
@@ -69,6 +71,17 @@
 	}
 }
 
+// crashOthers crashes count workers that do not run the task.
+func (s *shard) crashOthers(task dotterjob.TaskID, count int) {
+	running := s.pool.Running()
+	for _, id := range slices.Sorted(maps.Keys(s.pool.Listed())) {
+		if count > 0 && !slices.ContainsFunc(running[id], func(r dotterrun.Ref) bool { return r.Task == task }) {
+			s.pool.Crash(id)
+			count--
+		}
+	}
+}
+
 // loseNextAnswers makes each worker execute the next order without answering.
 func (s *shard) loseNextAnswers() {
 	for id := range s.pool.Listed() {
@@ -262,3 +275,39 @@
 	assert.Equal(t, dotterjob.Running, s.state(id))
 	s.requireNoViolations()
 }
+
+// TestWeightsGiveUpInTime guards against evidence that does not reach the limit with the fifth
+// crash, or that reaches it with too few.
+func TestWeightsGiveUpInTime(t *testing.T) {
+	const immediate, inherited, young = immediateWeight, inheritedWeight, youngWeight
+	tests := map[string]struct {
+		weights   []int
+		unrelated bool // other workers crash for other reasons
+		crashes   int  // after which the task is given up; 0: not at all
+	}{
+		"all immediate":                      {weights: []int{immediate, immediate, immediate}, crashes: 3},
+		"none proved":                        {weights: []int{immediate - unprovedLoss, immediate - unprovedLoss, immediate - unprovedLoss, immediate - unprovedLoss}, crashes: 4},
+		"found by successors":                {weights: []int{young, inherited, inherited, inherited}, crashes: 4},
+		"at any time":                        {weights: []int{young, young, young, young, young}, crashes: 5},
+		"two by chance":                      {weights: []int{immediate, immediate, young}},
+		"four by chance":                     {weights: []int{young, young, young, young}},
+		"beside other crashes":               {weights: []int{immediate, immediate, immediate, immediate}, unrelated: true, crashes: 4},
+		"three together with others":         {weights: []int{immediate - sharedLoss, immediate - sharedLoss, immediate - sharedLoss, immediate, immediate}, unrelated: true, crashes: 5},
+		"by chance, together with others":    {weights: []int{young - sharedLoss, young - sharedLoss, young - sharedLoss, young - sharedLoss, young}, unrelated: true},
+		"by chance, beside other crashes":    {weights: []int{immediate, immediate, immediate, young}, unrelated: true},
+		"found by successors, beside others": {weights: []int{young, inherited, inherited, inherited, inherited}, unrelated: true, crashes: 5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var c crashes
+			given := 0
+			for i, weight := range tc.weights {
+				c = c.with(Crash{Worker: "w", Weight: weight, Unrelated: tc.unrelated && i == 0})
+				if given == 0 && c.weight() >= c.limit() {
+					given = i + 1
+				}
+			}
+			assert.Equal(t, tc.crashes, given)
+		})
+	}
+}
