--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -272,7 +272,11 @@
 	j.outcome, j.outcomeAt, j.reason = outcome, now, reason
 	_, j.announced = b.cancelled[j.ID]
 	b.counters.Outcomes[outcome]++
-	b.logger.Info("job decided", zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
+	level := zap.InfoLevel
+	if outcome == dotterjob.Failed {
+		level = zap.WarnLevel // is not dropped with the lines of runs that end in a crash
+	}
+	b.logger.Log(level, "job decided", zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
 		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
 	if outcome != dotterjob.Completed {
 		j.forEachTask(func(t *task) {
--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -234,7 +234,11 @@
 		b.counters.Crashes++
 		b.markDirty(j)
 	}
-	b.logger.Warn("worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
+	level := zap.InfoLevel
+	if t.keepApart() {
+		level = zap.WarnLevel
+	}
+	b.logger.Log(level, "worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
 		zap.Int("Limit", t.crashes.limit()), zap.Bool("Proved", proved), zap.Int64("SentMsBefore", int64(w.aliveAt()-t.sentAt)), zap.Bool("Inherited", t.isUnseen(w)),
 		zap.Bool("Draining", w.Draining), zap.Int("UnrelatedCrashes", all), zap.Int("AtTheSameTime", together), zap.String("Workers", t.crashes.String()))...)
 	if t.crashes.weight() >= t.crashes.limit() {
--- a/internal/server/dotterscheduler/explain_test.go
+++ b/internal/server/dotterscheduler/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,19 @@
 	return b.Buffer.Write(line)
 }
 
+// listReturned lists the workers that have returned after a crash in the directory.
+func (c *cluster) listReturned() {
+	for id, w := range c.pool.Listed() {
+		if _, err := c.store.Get(c.t.Context(), "Workers/"+id); err == nil {
+			continue
+		}
+		encoded, err := json.Marshal(w)
+		require.NoError(c.t, err)
+		_, err = c.store.Put(c.t.Context(), "Workers/"+id, encoded, 0, "")
+		require.NoError(c.t, err)
+	}
+}
+
 // TestExplainShowsCause covers the examples of docs/OPERATIONS.md: for each failed or
 // delayed job, the lines that `dotterelusher explain` shows lead to the cause.
 func TestExplainShowsCause(t *testing.T) {
@@ -64,6 +78,22 @@
 			},
 			want: []string{"run ended", "Ending=Failed", "run ended", "Ending=Failed", "job decided", "Outcome=Failed", "failed as often as its queue allows"},
 		},
+		"failed because its task crashes every worker": {
+			fail: func(t *testing.T, c *cluster) dotterjob.ID {
+				c.pool.ReturnAfter(100)
+				c.pool.MakeDeadly(dotterjob.TaskID{Job: "00000000000000f5"})
+				id := c.submit("a1", 0xf5, step(1, 30))
+				c.await("failed", func() bool {
+					c.listReturned()
+					return c.stateAt("a1", id) == dotterjob.Failed
+				})
+				return id
+			},
+			want: []string{
+				"worker crashed under a starting run", "SumOfWeights=5", "Worker=w", "run lost", "another incarnation answers at the worker's address",
+				"worker crashed under a starting run", "SumOfWeights=10", "job decided", "Outcome=Failed", "crashed the workers w",
+			},
+		},
 		"delayed by restarts of its workers": {
 			fail: func(t *testing.T, c *cluster) dotterjob.ID {
 				id := c.submit("a1", 0xf3, step(4, 800))
