--- a/internal/entry/dotterexchange/attempt.go
+++ b/internal/entry/dotterexchange/attempt.go
@@ -36,6 +36,7 @@
 	answer  dotterrequest.Answer
 	refusal *dotterrequest.Refusal
 	server  string
+	lost    []string // servers that closed the connection instead of answering, also those of hedges
 }
 
 func (e *Exchanger) newAttempt(ctx context.Context, request dotterrequest.Request, grant *dotterservice.Grant) *attempt {
@@ -98,7 +99,11 @@
 	a.reportFailure(err)
 	release(a.grant, err)
 	a.cancel(nil)
-	return result{refusal: refusal, server: a.grant.Host.Name}
+	r := result{refusal: refusal, server: a.grant.Host.Name}
+	if refusal.Reason == dotterrequest.ReasonAnswerLost {
+		r.lost = []string{r.server}
+	}
+	return r
 }
 
 // reportFailure reports a failed attempt to the router. It reports nothing if the
--- a/internal/entry/dotterexchange/exchanger.go
+++ b/internal/entry/dotterexchange/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -14,8 +15,14 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
 )
 
-// maxAttempts is how many times a request is sent, not counting hedges.
-const maxAttempts = 3
+const (
+	// maxAttempts is how many times a request is sent, not counting hedges.
+	maxAttempts = 3
+	// maxServersLost is the number of backend servers that close the connection over a
+	// request, instead of answering it, after which it is not sent again. It may have crashed
+	// them.
+	maxServersLost = 2
+)
 
 // Options holds the dependencies and limits of an Exchanger.
 type Options struct {
@@ -68,17 +75,22 @@
 		Target:   request.Template.TargetMillis,
 	}
 	var previous *dotterrequest.Refusal
+	var lost []string // servers that closed the connection instead of answering
 	for number := 1; ; number++ {
 		grant, err := service.Acquire(ctx, ticket)
 		if err != nil {
 			return e.handleNoSlot(ctx, request, previous, asRefusal(err))
 		}
 		e.logRoute(request, grant.Host.Name, routeReason(number))
-		r := e.send(ctx, request, service, grant)
+		r := e.send(ctx, request, service, grant, len(lost) == 0)
 		if r.refusal == nil {
 			return r.answer, nil
 		}
 		previous = combineRefusals(previous, r.refusal)
+		lost = append(lost, r.lost...)
+		if len(lost) >= maxServersLost {
+			return dotterrequest.Answer{}, e.serversLost(request, lost)
+		}
 		if number == maxAttempts || !e.allowRetry(ctx, request, previous) {
 			return e.giveUp(ctx, request, previous)
 		}
@@ -87,6 +99,14 @@
 	}
 }
 
+// serversLost returns the refusal of a request that may have crashed the servers.
+func (e *Exchanger) serversLost(request dotterrequest.Request, servers []string) *dotterrequest.Refusal {
+	refusal := dotterrequest.Unknown(dotterrequest.ReasonServersLost, "closed the connection instead of answering: "+strings.Join(servers, ", "))
+	e.options.Log.Warn("Servers lost", zap.String("Request", request.ID), zap.String("Template", request.Template.Name),
+		zap.Strings("Servers", servers), zap.String("Reason", string(refusal.Reason)), zap.Int64("Revision", request.Revision))
+	return refusal
+}
+
 // giveUp ends a request that is not retried here. If it reached no backend server,
 // it is forwarded, because servers of another failure domain may be reachable.
 func (e *Exchanger) giveUp(ctx context.Context, request dotterrequest.Request, refusal *dotterrequest.Refusal) (dotterrequest.Answer, *dotterrequest.Refusal) {
--- a/internal/entry/dotterexchange/hedge.go
+++ b/internal/entry/dotterexchange/hedge.go
@@ -9,9 +9,9 @@
 
 // send makes an attempt with the slot grant, and hedges it if the request is slow
 // and may be hedged.
-func (e *Exchanger) send(ctx context.Context, request dotterrequest.Request, service *dotterservice.Service, grant *dotterservice.Grant) result {
+func (e *Exchanger) send(ctx context.Context, request dotterrequest.Request, service *dotterservice.Service, grant *dotterservice.Grant, mayHedge bool) result {
 	first := e.newAttempt(ctx, request, grant)
-	if !request.Repeatable || !request.Template.Hedge {
+	if !request.Repeatable || !request.Template.Hedge || !mayHedge {
 		return first.run()
 	}
 	return e.sendHedged(first, service)
@@ -81,6 +81,7 @@
 	other := <-results
 	if other.result.refusal != nil {
 		other.result.refusal = combineRefusals(n.result.refusal, other.result.refusal)
+		other.result.lost = append(other.result.lost, n.result.lost...)
 	}
 	return other.result
 }
--- a/internal/entry/dotterproxy/hedge_test.go
+++ b/internal/entry/dotterproxy/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrequest"
 	"github.com/dotterelusher/dotterelusher/internal/entry/dotterrouter"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotteroutcome"
 )
 
@@ -75,3 +77,40 @@
 	assert.Positive(t, resent)
 	assert.Less(t, resent, 0.1*count)
 }
+
+// TestRequestThatCrashesServersIsNotSentOn guards against a request that ends one backend
+// server after the other by its retries and hedges.
+func TestRequestThatCrashesServersIsNotSentOn(t *testing.T) {
+	tests := map[string]struct {
+		template string
+		delay    time.Duration // before each server closes the connection
+	}{
+		"retries":            {template: "refresh"},
+		"retries and hedges": {template: "hedged", delay: 300 * time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			var hosts []dotterhost.Host
+			for _, server := range []string{"b1", "b2", "b3", "b4", "b5", "b6"} {
+				hosts = append(hosts, backendHost(server, startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+					if !strings.HasSuffix(r.URL.Path, "/deadly") {
+						respondFine(w, r)
+						return
+					}
+					runs.Add(1)
+					time.Sleep(tc.delay)
+					abort(w, r)
+				}), tc.template))
+			}
+			f := startProxy(t, manyRetries, hosts...)
+			for range 50 { // earn a budget of retries
+				f.call(t, http.MethodPost, tc.template+"/1", "")
+			}
+			got := f.call(t, http.MethodPost, tc.template+"/deadly", "")
+			assert.Equal(t, dotteroutcome.Unknown, got.outcome)
+			assert.Equal(t, dotterrequest.ReasonServersLost, got.reason(t))
+			assert.EqualValues(t, 2, runs.Load())
+		})
+	}
+}
--- a/internal/entry/dotterrequest/reason.go
+++ b/internal/entry/dotterrequest/reason.go
@@ -21,6 +21,7 @@
 	ReasonUnreachable      Reason = "Unreachable"
 	ReasonServerRefused    Reason = "ServerRefused"
 	ReasonAnswerLost       Reason = "AnswerLost"
+	ReasonServersLost      Reason = "ServersLost" // several servers closed the connection instead of answering; it is not sent to more
 	ReasonTimedOut         Reason = "TimedOut"
 	ReasonCallerGone       Reason = "CallerGone"
 	ReasonStoreUnavailable Reason = "StoreUnavailable" // the idempotency key can't be claimed
