--- a/internal/task/dotterledger/apply.go
+++ b/internal/task/dotterledger/apply.go
@@ -64,6 +64,7 @@
 	if r.Failed {
 		e.Failures++
 	}
+	e.Crashes = r.Crashes
 	if r.Checkpoint != "" {
 		e.Task = e.Task.WithCheckpoint(r.Checkpoint)
 	}
--- a/internal/task/dotterowner/attempt.go
+++ b/internal/task/dotterowner/attempt.go
@@ -41,6 +41,7 @@
 	replaced        *attempt           // preassigned attempt that is restored if this one isn't committed
 	reason          string             // why the worker was chosen, for the decision log
 	startedAt       dotterclock.Millis // zero until the start is confirmed
+	sound           bool               // reported as running for soundAge
 	latestStart     dotterclock.Millis // latest start that the last start command allowed, on the worker's clock
 	throttlePercent int                // throttle in force; 0 means none
 	pendingThrottle int                // throttle percentage to send next; 0 means none
--- /dev/null
+++ b/internal/task/dotterowner/crash_test.go
@@ -0,0 +1,71 @@
+package dotterowner
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+)
+
+// TestTaskThatCrashesWorkersFails guards against a repeatable task that ends the process of
+// one worker after the other as it starts, and against blaming the tasks beside it.
+func TestTaskThatCrashesWorkersFails(t *testing.T) {
+	tests := map[string]bool{"same owner": false, "owner replaced after each start": true}
+	for name, replaced := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPool(t, 3)
+			o := p.open(p.options("a/1"))
+			beside := p.submit(o, repeat(4, task(true, 30_000))...)
+			var deadly []dottertask.ID
+			p.set(func() { p.deadly = func(id dottertask.ID) bool { return slices.Contains(deadly, id) } })
+			ids := p.submit(o, task(true, 5000), task(true, 5000))
+			p.set(func() { deadly = ids })
+			starts := 0
+			for end := p.clock.Now() + 400*dotterclock.Second; p.clock.Now() < end; {
+				p.advanceBy(500)
+				if n := p.startsOf(ids[0]); replaced && n > starts {
+					starts = n
+					o.Stop()
+					o = p.open(p.options("a/1"))
+				}
+				if p.state(o, ids[0]).Final() && p.state(o, ids[1]).Final() {
+					break
+				}
+			}
+			for _, id := range ids {
+				assert.Equal(t, dottertask.StateFailed, p.state(o, id))
+				assert.LessOrEqual(t, p.startsOf(id), 3)
+			}
+			for _, id := range beside {
+				p.untilState(o, id, dottertask.StateDone, 200*dotterclock.Second)
+			}
+			o.Stop()
+			p.checkInvariants()
+		})
+	}
+}
+
+// TestRestartsOfWorkersAreNoFault checks that tasks which have been at work are not failed for
+// restarts of their workers.
+func TestRestartsOfWorkersAreNoFault(t *testing.T) {
+	t.Parallel()
+	p := newPool(t, 2)
+	o := p.open(p.options("a/1"))
+	defer o.Stop()
+	ids := p.submit(o, repeat(4, task(true, 60_000))...)
+	for range 5 {
+		p.advanceBy(12 * dotterclock.Second)
+		p.restart("d-w0")
+		p.restart("d-w1")
+	}
+	for _, id := range ids {
+		p.untilState(o, id, dottertask.StateDone, 300*dotterclock.Second)
+		require.Greater(t, p.startsOf(id), 3)
+	}
+	p.checkInvariants()
+}
--- a/internal/task/dotterowner/ends.go
+++ b/internal/task/dotterowner/ends.go
@@ -45,6 +45,7 @@
 	a.size = a.size.Max(s.Size)
 	if s.Phase == dotterattempt.PhaseRunning {
 		o.confirmRunning(a, now)
+		a.sound = a.sound || now-a.startedAt >= soundAge
 		return
 	}
 	if a.phase == phaseEnded {
@@ -123,8 +124,9 @@
 }
 
 // endLost logs the end of an attempt that can no longer be running and whose
-// outcome no worker can report.
-func (o *Owner) endLost(a *attempt, reason string) {
+// outcome no worker can report. replacedOn is its worker if the worker's process was
+// replaced since the attempt was reserved there, or nil.
+func (o *Owner) endLost(a *attempt, reason string, replacedOn *worker) {
 	now := o.options.Clock.Now()
 	e, ok := o.ledger.Entry(a.task.ID)
 	if !ok || a.phase == phaseEnded {
@@ -135,6 +137,11 @@
 	if !e.Task.Repeatable {
 		ended.State = dottertask.StateOutcomeUnknown
 	}
+	if replacedOn != nil {
+		o.countCrash(replacedOn, a, e, &ended)
+	} else if !a.sound {
+		ended.Crashes = e.Crashes // a silent worker tells nothing
+	}
 	status := dotterattempt.Status{Ref: o.ref(a), Phase: dotterattempt.PhaseLapsed, Reason: reason}
 	o.logEnd(a, ended)
 	o.options.Placer.RecordEnd(now, a.worker, e.Task, status)
@@ -151,7 +158,7 @@
 		state = dottertask.StateCancelled
 	}
 	o.logEnd(a, dotterrecord.Ended{
-		Task: a.task.ID, Attempt: a.number, State: state, Reason: reason, At: o.options.Clock.Now(),
+		Task: a.task.ID, Attempt: a.number, State: state, Reason: reason, Crashes: e.Crashes, At: o.options.Clock.Now(),
 	})
 }
 
@@ -203,5 +210,5 @@
 	if !a.task.Repeatable && !workerRemoved && now < a.expiredAt+o.limits.UnknownOutcomeGrace {
 		return
 	}
-	o.endLost(a, "the worker is cut off and its lease is past")
+	o.endLost(a, "the worker is cut off and its lease is past", nil)
 }
--- a/internal/task/dotterowner/fakes_test.go
+++ b/internal/task/dotterowner/fakes_test.go
@@ -58,6 +58,7 @@
 	hosts                  []dotterhost.Host
 	running                map[dottertask.ID]int
 	starts                 map[dottertask.ID]int
+	deadly                 func(dottertask.ID) bool // tasks that end their worker's process as they start; nil: none
 	resumedFrom            map[dottertask.ID][]string
 	finished               map[dottertask.ID]int
 	ranCoreMillis          int64 // CPU time of the attempts that have stopped
@@ -157,16 +158,17 @@
 
 // restart replaces a worker's process; its attempts and epochs are lost.
 func (p *fakePool) restart(name string) {
-	p.set(func() {
-		w := p.workers[name]
-		for _, a := range w.attempts {
-			p.stopRunning(a)
-		}
-		w.attempts = map[dotterattempt.Ref]*fakeAttempt{}
-		w.epochs = map[string]int64{}
-		w.host.Incarnation++
-		w.dead = false
-	})
+	p.set(func() { p.replaceProcess(p.workers[name]) })
+}
+
+func (p *fakePool) replaceProcess(w *fakeWorker) {
+	for _, a := range w.attempts {
+		p.stopRunning(a)
+	}
+	w.attempts = map[dotterattempt.Ref]*fakeAttempt{}
+	w.epochs = map[string]int64{}
+	w.host.Incarnation++
+	w.dead = false
 }
 
 func (p *fakePool) kill(name string) {
@@ -268,6 +270,10 @@
 	if _, known := w.attempts[start.Ref]; !known {
 		p.run(w, start)
 	}
+	if p.deadly != nil && p.deadly(start.Task) {
+		p.replaceProcess(w)
+		return dotterattempt.Report{}, dotterelusher.ErrWorkerIndeterminate
+	}
 	if w.lostStartAnswers > 0 {
 		w.lostStartAnswers--
 		return dotterattempt.Report{}, dotterelusher.ErrWorkerIndeterminate
--- a/internal/task/dotterowner/inventory.go
+++ b/internal/task/dotterowner/inventory.go
@@ -48,8 +48,12 @@
 	if !ok {
 		return
 	}
-	if w.incarnation != e.Incarnation || a.phase == phaseRunning {
-		o.endLost(a, "the worker no longer has it")
+	switch {
+	case w.incarnation != e.Incarnation:
+		o.endLost(a, "the worker's process was replaced", w)
+		return
+	case a.phase == phaseRunning:
+		o.endLost(a, "the worker no longer has it", nil)
 		return
 	}
 	// The attempt has never started: the worker's process is the one for which it
--- a/internal/task/dotterowner/plan.go
+++ b/internal/task/dotterowner/plan.go
@@ -179,7 +179,7 @@
 		return
 	}
 	size := a.Size.Max(e.Task.Size)
-	if !size.Fits(w.free()) {
+	if !size.Fits(w.free()) || e.Crashes > 0 && o.hasSuspect(w) {
 		return
 	}
 	o.reserve(e.Task, w, size, a.Reason, false)
--- a/internal/task/dotterrecord/ended.go
+++ b/internal/task/dotterrecord/ended.go
@@ -14,6 +14,7 @@
 	Reason     string             `json:",omitempty"`
 	Checkpoint string             `json:",omitempty"`
 	Failed     bool               `json:",omitempty"` // counts against the template's MaxAttempts
+	Crashes    int                `json:",omitempty"` // new value of Entry.Crashes
 	RanMillis  dotterclock.Millis `json:",omitempty"`
 	At         dotterclock.Millis
 }
--- a/internal/task/dotterrecord/entry.go
+++ b/internal/task/dotterrecord/entry.go
@@ -11,6 +11,7 @@
 	Held        dotterroom.Room `json:",omitzero"`  // resources reserved for the newest attempt
 	Incarnation int64           `json:",omitempty"` // of the newest attempt's worker at the time of the reservation
 	Failures    int             `json:",omitempty"` // attempts that failed
+	Crashes     int             `json:",omitempty"` // processes of workers that ended under the last attempts as these started
 	Cancelling  bool            `json:",omitempty"` // cancelled while an attempt was bound
 	Target      string          `json:",omitempty"` // shard that the task was offered or moved to
 	Hops        int             `json:",omitempty"` // moves between shards so far
