--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -24,7 +24,7 @@
 )
 
 // Weights of a crash as evidence against a task. The platform tolerates five crashes under
-// one task, some of which no owner may have seen.
+// one task.
 const (
 	immediateWeight = 5 // within immediateAge of the start
 	inheritedWeight = 4 // at an unknown time, under a run of a suspect that no owner has found sound
@@ -37,6 +37,9 @@
 	// unrelatedCrashLimit is the same while workers crash under which nothing had just
 	// started: four immediate crashes, or two and three young ones.
 	unrelatedCrashLimit = 2*immediateWeight + 3*youngWeight
+	// maxCrashes is the number of crashes in a row, whatever their weight, after which a task
+	// is given up in any case.
+	maxCrashes = 5
 )
 
 const (
@@ -74,6 +77,11 @@
 	return sum
 }
 
+// exhausted reports whether the task is to be given up.
+func (c crashes) exhausted() bool {
+	return c.weight() >= c.limit() || len(c) >= maxCrashes
+}
+
 // limit returns the weight for which the task is given up.
 func (c crashes) limit() int {
 	if slices.ContainsFunc(c, func(crash Crash) bool { return crash.Unrelated }) {
@@ -241,7 +249,7 @@
 	b.logger.Log(level, "worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
 		zap.Int("Limit", t.crashes.limit()), zap.Bool("Proved", proved), zap.Int64("SentMsBefore", int64(w.aliveAt()-t.sentAt)), zap.Bool("Inherited", t.isUnseen(w)),
 		zap.Bool("Draining", w.Draining), zap.Int("UnrelatedCrashes", all), zap.Int("AtTheSameTime", together), zap.String("Workers", t.crashes.String()))...)
-	if t.crashes.weight() >= t.crashes.limit() {
+	if t.crashes.exhausted() {
 		b.finish(now, j, dotterjob.Failed, "task "+t.id().String()+" crashed the workers "+t.crashes.String()+" as it started")
 	}
 }
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -104,6 +104,7 @@
 		w.leaseUntil = max(w.leaseUntil, l.Clock+b.settings.LeaseDuration) // the previous owner may have just renewed it
 	}
 	b.noteReopened(w)
+	w.knownAt = w.Address
 	w.contacted, w.unansweredSince, w.mayHaveRestarted, w.heardAt = true, 0, false, now
 	w.clock, w.clockAt = l.Clock, now
 	w.load = nil
@@ -174,6 +175,9 @@
 // worker has its address for life, so that its runs are over and their leases are of no account.
 func (b *Board) handleReplacement(now dotterclock.Millis, w *worker) {
 	w.replacedAt = now
+	if w.Address != w.knownAt {
+		return // the directory may list a wrong address
+	}
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
 	}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -187,6 +187,7 @@
 	w, ok := b.workers[r.Worker]
 	if !ok {
 		w = b.addWorker(dotterworker.Worker{ID: r.Worker, Address: r.Address})
+		w.knownAt = r.Address
 		w.absentSince = now
 	}
 	t.phase, t.worker = inherited, w
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -18,6 +18,7 @@
 	orders           []*Order
 	wake             chan struct{}      // holds one token while orders wait
 	contacted        bool               // whether it has answered this owner
+	knownAt          string             // address at which it has answered an owner
 	clock            dotterclock.Millis // worker's clock in its last listing
 	clockAt          dotterclock.Millis // owner's clock when that listing arrived
 	leaseUntil       dotterclock.Millis // end of the longest lease granted, on the worker's clock
