--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -190,9 +190,14 @@
 	})
 }
 
-// Restart discards all state of a worker and starts a new incarnation.
+// Restart discards all state of a worker and starts a new incarnation, unless the worker
+// returns by itself under another ID.
 func (p *Pool) Restart(id string) {
-	p.update(id, func(w *Worker) { w.restart() })
+	p.update(id, func(w *Worker) {
+		if !w.crashed || p.returnAfter == 0 {
+			w.restart()
+		}
+	})
 }
 
 func (p *Pool) update(id string, change func(*Worker)) {
