--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -48,6 +48,8 @@
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
+
+	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
 }
 
 // New returns an empty board for the owner with the given epoch. The previous owner may
@@ -202,6 +204,13 @@
 	return b.deposed
 }
 
+// SetDirectoryFresh tells the board the time up to which the directory is known to be complete.
+func (b *Board) SetDirectoryFresh(freshAt dotterclock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.directoryFreshAt = max(b.directoryFreshAt, freshAt)
+}
+
 // UpdateDirectory updates the workers from the platform's directory.
 func (b *Board) UpdateDirectory(now dotterclock.Millis, listed map[string]dotterworker.Worker) {
 	b.mu.Lock()
@@ -313,6 +322,7 @@
 	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
+	w.beginTrial(t)
 	w.load = nil
 	j := t.job()
 	j.starts = append(j.starts, t)
@@ -324,6 +334,7 @@
 	w := t.worker
 	delete(w.runs, t.ref())
 	w.reserved = w.reserved.Sub(t.step.Reserved())
+	w.endTrial(t)
 	w.load = nil
 	t.worker = nil
 	t.phase = waiting
--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -106,14 +106,21 @@
 	unrelated bool // none of the worker's runs had just started
 }
 
+// markCrashed releases a task whose run ended with its worker, and counts that against it.
+func (b *Board) markCrashed(now dotterclock.Millis, w *worker, t *task, proved bool, reason string) {
+	b.recordCrash(now, w, t, proved)
+	b.markLost(now, t, reason)
+	b.giveUpIfExhausted(now, t)
+}
+
 // isSuspect reports whether a worker has crashed under the task and no run has been sound
 // since.
 func (t *task) isSuspect() bool {
 	return len(t.crashes) > 0
 }
 
-// keepApart reports whether the task must not share a worker with others of its kind, so
-// that the next crash tells which of them it was.
+// keepApart reports whether the task starts on trial: nothing else starts on its worker until
+// it is sound, so that a crash tells which task it was.
 func (t *task) keepApart() bool {
 	return t.crashes.weight() >= youngWeight-unprovedLoss
 }
@@ -159,14 +166,21 @@
 	return max(w.heardAt, w.closedAt)
 }
 
-// hasKeptApart reports whether a task that is kept apart is bound to the worker.
-func (w *worker) hasKeptApart() bool {
-	for _, t := range w.runs {
-		if t.keepApart() {
-			return true
-		}
+// beginTrial keeps other tasks from starting on the worker if the task bound to it is kept
+// apart.
+func (w *worker) beginTrial(t *task) {
+	if t.keepApart() {
+		t.onTrial = true
+		w.trials++
+	}
+}
+
+// endTrial is called when the run is sound or over.
+func (w *worker) endTrial(t *task) {
+	if t.onTrial {
+		t.onTrial = false
+		w.trials--
 	}
-	return false
 }
 
 // noteClosed records that a worker closed its connections. Its young runs are stored again,
@@ -224,7 +238,7 @@
 }
 
 // recordCrash counts the end of the worker against the task, once a run, unless the run was
-// sound or the worker was draining. It fails the job of a task that is given up.
+// sound or the worker was draining.
 func (b *Board) recordCrash(now dotterclock.Millis, w *worker, t *task, proved bool) {
 	j := t.job()
 	if t.crashedRun == t.run || j.outcome != "" || !t.isYoung(w) {
@@ -249,7 +263,11 @@
 	b.logger.Log(level, "worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
 		zap.Int("Limit", t.crashes.limit()), zap.Bool("Proved", proved), zap.Int64("SentMsBefore", int64(w.aliveAt()-t.sentAt)), zap.Bool("Inherited", t.isUnseen(w)),
 		zap.Bool("Draining", w.Draining), zap.Int("UnrelatedCrashes", all), zap.Int("AtTheSameTime", together), zap.String("Workers", t.crashes.String()))...)
-	if t.crashes.exhausted() {
+}
+
+// giveUpIfExhausted fails the task's job if enough workers have crashed under the task.
+func (b *Board) giveUpIfExhausted(now dotterclock.Millis, t *task) {
+	if j := t.job(); j.outcome == "" && t.crashes.exhausted() {
 		b.finish(now, j, dotterjob.Failed, "task "+t.id().String()+" crashed the workers "+t.crashes.String()+" as it started")
 	}
 }
@@ -261,5 +279,7 @@
 	}
 	b.logger.Info("suspect cleared", b.runFields(t, zap.String("Workers", t.crashes.String()))...)
 	t.crashes = nil
+	t.worker.endTrial(t)
 	b.markDirty(t.job())
+	b.notify()
 }
--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -183,6 +183,28 @@
 	s.requireNoViolations()
 }
 
+// TestNothingStartsBesideTrial guards against a crash that one task causes and another, which
+// is on trial on the same worker, is blamed for.
+func TestNothingStartsBesideTrial(t *testing.T) {
+	s := newShard(t, 2)
+	s.pool.ReturnAfter(1000)
+	s.run(200)
+	id := s.submit(1, tasks(1, 20_000))
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 1 })
+	s.pool.Crash(s.workersOf(id)[0])
+	s.until(5000, func() bool { return s.pool.Starts(id) == 2 })
+	on := s.workersOf(id)[0]
+	other := s.submit(2, tasks(8, 300))
+	for range 30 {
+		s.run(10)
+		require.NotContains(t, s.workersOf(other), on)
+	}
+	s.until(3000, func() bool { return s.board.workers[on].trials == 0 })
+	many := s.submit(3, tasks(20, 300)) // more than fit on one worker
+	s.until(2000, func() bool { return slices.Contains(s.workersOf(many), on) })
+	s.requireNoViolations()
+}
+
 // TestSuspectsKeepTheLimitPerWorker guards against ranking the workers for a step once and
 // then placing suspects of the step by another ranking.
 func TestSuspectsKeepTheLimitPerWorker(t *testing.T) {
@@ -254,6 +276,26 @@
 	}
 }
 
+// TestNoStartByOldDirectory guards against starts on a worker whose capacity has shrunk while
+// the store could not be read, in the moment in which it can be written again.
+func TestNoStartByOldDirectory(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	s.directoryStale, s.storeUp = true, false
+	id := s.submit(1, tasks(2, 500))
+	s.pool.SetCapacity("w00", dotterroom.Room{MilliCores: 3000, MemoryMB: 250_000}, 0)
+	s.run(4000)
+	s.storeUp = true
+	s.run(500)
+	assert.Zero(t, s.pool.Starts(id))
+	s.directoryStale = false
+	s.run(1000)
+	assert.Zero(t, s.pool.Starts(id))
+	s.pool.SetCapacity("w00", dotterroom.Room{MilliCores: 64_000, MemoryMB: 250_000}, 0)
+	s.until(3000, s.stateIs(id, dotterjob.Completed))
+	s.requireNoViolations()
+}
+
 // TestClearedTaskStartsCountingAgain checks that only crashes without a sound run in between
 // count, also for a new owner.
 func TestClearedTaskStartsCountingAgain(t *testing.T) {
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -154,15 +154,16 @@
 	}
 	b.logger.Info("worker restarted", zap.String("Worker", w.ID), zap.Int("Runs", len(w.runs)), zap.Int64("Born", int64(startedAt)))
 	for _, t := range w.runs {
-		if t.mayHaveReachedWorker() && (t.phase != running || t.workerStartedAt == previousStartedAt) {
-			b.recordCrash(now, w, t, true)
-		}
 		switch {
 		case t.phase == running && t.workerStartedAt == previousStartedAt:
-			b.markLost(now, t, "the worker restarted")
+			b.markCrashed(now, w, t, true, "the worker restarted")
 		case t.phase == running, t.phase == ordered, t.phase == uncertain:
+			if t.phase != running {
+				b.recordCrash(now, w, t, true)
+			}
 			// The start order may have reached the new incarnation, or may yet reach it.
 			t.phase, t.validUntil = uncertain, 0
+			b.giveUpIfExhausted(now, t)
 		}
 	}
 }
@@ -184,8 +185,7 @@
 	w.resetAfterRestart(0)
 	for _, t := range w.runs {
 		if t.mayHaveReachedWorker() {
-			b.recordCrash(now, w, t, true)
-			b.markLost(now, t, "another incarnation answers at the worker's address")
+			b.markCrashed(now, w, t, true, "another incarnation answers at the worker's address")
 		}
 	}
 	b.notify()
@@ -260,7 +260,8 @@
 		// The renewal raised the epoch on the worker, which now refuses the previous owner's
 		// start.
 		if w.StartedAt > t.boundAt+b.wallOffset {
-			b.recordCrash(now, w, t, true)
+			b.markCrashed(now, w, t, true, "the worker restarted before the takeover")
+			return
 		}
 		b.markLost(now, t, "not listed after the takeover")
 	case ordered, running:
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -50,10 +50,10 @@
 }
 
 // isOpen reports whether the worker accepts starts, whatever the task: it is not
-// draining, its failure domain is not out, it answers, and the directory lists it or did
-// so less than DirectoryGrace ago.
+// draining, its failure domain is not out, it answers, and the directory, which is not
+// out of date, lists it or did so less than DirectoryGrace ago.
 func (b *Board) isOpen(now dotterclock.Millis, w *worker) bool {
-	return !w.Draining && !b.outDomains[w.FailureDomain] && w.contacted && w.unansweredSince == 0 && now-w.heardAt < maxListingAge &&
+	return now-b.directoryFreshAt < maxDirectoryAge && !w.Draining && !b.outDomains[w.FailureDomain] && w.contacted && w.unansweredSince == 0 && now-w.heardAt < maxListingAge &&
 		(w.inDirectory || now-w.absentSince < b.settings.DirectoryGrace)
 }
 
@@ -82,13 +82,13 @@
 	blockedTicket              // not admitted by the queue's policy
 	blockedRack                // outside the rack on which the gang is being placed
 	blockedKept                // the free room is kept from new long-running tasks
-	blockedSuspect             // has a suspect, and the task is one too
+	blockedTrial               // has a run on trial
 	blockedLoad                // a serving task there would exceed its load limit
 	obstacleKinds              // number of obstacles
 )
 
 // obstacleNames are the names of the obstacles in logs.
-var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Suspect", "Load"}
+var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Trial", "Load"}
 
 // obstacle returns why the worker gets no task of the step, or noObstacle. blockedLoad
 // is left to score.
@@ -103,6 +103,8 @@
 		return blockedWorker
 	case !w.faults.allowsTask(p.now):
 		return blockedQuarantine
+	case w.trials > 0:
+		return blockedTrial
 	case s.PerWorker > 0 && tasksOnWorker(w, s) >= s.PerWorker:
 		return blockedPerWorker
 	case s.occurrence.job.queue.Advice != nil && !s.tickets.valid(p.now, w):
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -15,7 +15,7 @@
 	reserved  dotterroom.Room
 	workers   workerHeap
 	obstacles [obstacleKinds]int // number of workers ruled out, by reason
-	apart     bool               // for a suspect
+	apart     bool               // for a trial
 	starving  bool               // the load limit is ignored to end the starvation of the job
 }
 
@@ -25,8 +25,7 @@
 	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved()})
 }
 
-// rankApart does the same for a suspect: workers with another suspect are ruled out, and those
-// with long-running tasks come last.
+// rankApart does the same for a trial, and prefers workers on which little is at stake.
 func (p *plan) rankApart(s *step) *ranking {
 	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved(), apart: true})
 }
@@ -52,7 +51,7 @@
 	r.starving = true
 	for _, w := range r.plan.workers[r.step.occurrence.job.queue.Service] {
 		l := r.plan.load(w)
-		if r.obstacle(l) == noObstacle {
+		if r.plan.obstacle(l, r.step, r.reserved) == noObstacle {
 			highest, _ := r.plan.board.predictPeakLoad(r.plan.now, l, r.step)
 			r.workers = append(r.workers, scoredWorker{worker: w, score: -highest})
 		}
@@ -63,7 +62,7 @@
 // reason is counted in obstacles.
 func (r *ranking) score(w *worker) (float64, bool) {
 	l := r.plan.load(w)
-	if o := r.obstacle(l); o != noObstacle {
+	if o := r.plan.obstacle(l, r.step, r.reserved); o != noObstacle {
 		r.obstacles[o]++
 		return 0, false
 	}
@@ -77,19 +76,13 @@
 	return score, ok
 }
 
-// obstacle returns why the worker gets no task, or noObstacle.
-func (r *ranking) obstacle(l *workerLoad) obstacle {
-	o := r.plan.obstacle(l, r.step, r.reserved)
-	if o == noObstacle && r.apart && l.worker.hasKeptApart() {
-		return blockedSuspect
-	}
-	return o
-}
-
 const (
 	// lastingExposure is the cost in a worker's score for a suspect of each long-running task
 	// there. It outweighs how full the worker is.
 	lastingExposure = 1.0
+	// youngExposure is the same for each run that has just started there, or is about to: after
+	// a crash it would be suspect too.
+	youngExposure = 5.0
 	// freshExposure is the same for a worker that has not been up for freshWorkerAge: workers
 	// that crash for other reasons do so again.
 	freshExposure = 20.0
@@ -105,6 +98,9 @@
 		if t.step.LongRunning {
 			cost += lastingExposure
 		}
+		if t.sentAt == 0 || t.isYoung(w) {
+			cost += youngExposure
+		}
 	}
 	if w.StartedAt > 0 && r.plan.wall-w.StartedAt < freshWorkerAge {
 		cost += freshExposure
--- a/internal/job/dotterboard/reap.go
+++ b/internal/job/dotterboard/reap.go
@@ -22,9 +22,10 @@
 			for _, t := range w.runs {
 				if t.mayHaveReachedWorker() {
 					if w.closedAt != 0 {
-						b.recordCrash(now, w, t, false)
+						b.markCrashed(now, w, t, false, "lease expired")
+					} else {
+						b.markLost(now, t, "lease expired")
 					}
-					b.markLost(now, t, "lease expired")
 				}
 			}
 			for ref, room := range w.unknownRuns {
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -200,4 +200,5 @@
 	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
+	w.beginTrial(t)
 }
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -32,16 +32,18 @@
 // shard is a board with its stored state and a pool of workers, on a clock that the test
 // advances.
 type shard struct {
-	t         *testing.T
-	clock     *dotterclock.Manual
-	pool      *dotterstandpool.Pool
-	board     *Board
-	epoch     int64
-	accepted  []dotterjob.Job
-	stored    map[dotterjob.ID][]byte
-	storeUp   bool                          // whether batches are stored
-	learned   []byte                        // the stored interference model; nil: none
-	renewedAt map[string]dotterclock.Millis // by worker
+	t        *testing.T
+	clock    *dotterclock.Manual
+	pool     *dotterstandpool.Pool
+	board    *Board
+	epoch    int64
+	accepted []dotterjob.Job
+	stored   map[dotterjob.ID][]byte
+	storeUp  bool // whether batches are stored
+
+	directoryStale bool                          // whether the directory cannot be read
+	learned        []byte                        // the stored interference model; nil: none
+	renewedAt      map[string]dotterclock.Millis // by worker
 
 	name       string
 	federation *federation // with other shards; nil: none
@@ -171,13 +173,25 @@
 		})
 		require.Equal(s.t, bound, j.runs, "count of bound tasks of job %s", id)
 	}
+	for id, w := range s.board.workers {
+		trials := 0
+		for _, t := range w.runs {
+			if t.onTrial {
+				trials++
+			}
+		}
+		require.Equal(s.t, trials, w.trials, "count of runs on trial on worker %s", id)
+	}
 }
 
 // tick performs each of the owner's periodic actions once.
 func (s *shard) tick() {
 	defer s.requireConsistent()
 	now := s.clock.Now()
-	s.board.UpdateDirectory(now, s.listed())
+	if !s.directoryStale {
+		s.board.UpdateDirectory(now, s.listed())
+		s.board.SetDirectoryFresh(now)
+	}
 	if s.federation != nil {
 		s.federation.follow(s)
 	}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -33,7 +33,8 @@
 	checkpoint string
 	gangDone   bool
 	crashes    crashes
-	crashedRun int // the run for which a crash was last considered
+	crashedRun int  // the run for which a crash was last considered
+	onTrial    bool // the run is the only one that may start on its worker until it is sound
 
 	inheritedWeight int // of a previous owner's run: see Board.pendingWeight
 
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -14,6 +14,7 @@
 	absentSince      dotterclock.Millis // since when the directory has not shown it
 	runs             map[dotterrun.Ref]*task
 	unknownRuns      map[dotterrun.Ref]dotterroom.Room // reserved by runs that no task is bound to and that are being stopped
+	trials           int                               // number of runs on trial, during which nothing else starts
 	reserved         dotterroom.Room                   // by runs and unknownRuns
 	orders           []*Order
 	wake             chan struct{}      // holds one token while orders wait
@@ -110,8 +111,8 @@
 	idleWait = 1600 * dotterclock.Millisecond
 	// busyWait is the same for a worker with runs, whose progress is monitored.
 	busyWait = 900 * dotterclock.Millisecond
-	// interferenceWait is the same for a worker with both filling and serving tasks. The
-	// worker measures the tails of serving tasks every half second.
+	// interferenceWait is the same for a worker with both filling and serving tasks, or with a
+	// run on trial. The worker measures the tails of serving tasks every half second.
 	interferenceWait = 500 * dotterclock.Millisecond
 )
 
@@ -124,7 +125,7 @@
 		fills = fills || t.step.Fills
 	}
 	switch {
-	case serves && fills:
+	case serves && fills, w.trials > 0:
 		return interferenceWait
 	case len(w.runs) > 0:
 		return busyWait
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -102,7 +102,7 @@
 	go guard("directory", func() { _ = directory.Run(ownerCtx) })
 	go guard("inbox", func() { _ = inbox.RunFrom(ownerCtx, revision) })
 	go guard("cancellations", func() { _ = cancellations.Run(ownerCtx) })
-	go guard("plan", func() { o.plan(ownerCtx, b, planChanges) })
+	go guard("plan", func() { o.plan(ownerCtx, b, directory, planChanges) })
 	go guard("advice", func() { o.advise(ownerCtx, b) })
 	go guard("interference models", func() { o.shareLearned(ownerCtx, b) })
 	go guard("sessions", func() { o.dispatch(ownerCtx, b, committer) })
@@ -216,9 +216,10 @@
 
 // plan plans whenever the board has changed or a plan is due. The pause after each plan
 // grows with the plan's duration and leaves processor time to orders and commits.
-func (o shardOwner) plan(ctx context.Context, b *dotterboard.Board, changed <-chan struct{}) {
+func (o shardOwner) plan(ctx context.Context, b *dotterboard.Board, directory *dotterreplica.Replica, changed <-chan struct{}) {
 	for {
 		startedAt := o.clock.Now()
+		b.SetDirectoryFresh(directory.FreshAt())
 		next := b.Plan(startedAt, wallTime())
 		select {
 		case <-ctx.Done():
