--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -24,8 +24,14 @@
 	step       *step
 	objective  dotterclock.Millis
 	timeliness timeliness
+	missed     bool // a long-running task that has run before waits for missedDelay or longer
 }
 
+// missedDelay is how long a long-running task that has run before may wait for room behind
+// quick tasks, which on a full service take each gap as it appears. Its users miss it some
+// seconds later.
+const missedDelay = 2 * dotterclock.Second
+
 // timeliness tells whether a step's job can still end in time. Among steps of one rank,
 // those with the lower value are placed first.
 type timeliness int
@@ -187,6 +193,7 @@
 	}
 	slices.SortStableFunc(cs, func(a, b candidate) int {
 		return cmp.Or(
+			compareBool(b.missed, a.missed),
 			cmp.Compare(a.step.occurrence.job.queue.Rank, b.step.occurrence.job.queue.Rank),
 			cmp.Compare(a.timeliness, b.timeliness),
 			// Long-running tasks hold their capacity a hundred times as long as others.
@@ -223,13 +230,20 @@
 					j.idleSince = p.now
 				}
 				objective := o.objective(p.wall, p.now)
-				cs = append(cs, candidate{step: s, objective: objective, timeliness: p.timelinessOf(s, objective)})
+				cs = append(cs, candidate{step: s, objective: objective, timeliness: p.timelinessOf(s, objective), missed: p.isMissed(s)})
 			}
 		}
 	}
 	return cs
 }
 
+// isMissed reports whether a long-running task of the step that has run before waits for
+// missedDelay or longer.
+func (p *plan) isMissed(s *step) bool {
+	return s.LongRunning && p.now-s.waitingSince >= missedDelay &&
+		slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == waiting && t.run > 0 })
+}
+
 // timelinessOf returns whether the step's job can end in time if its tasks start now.
 func (p *plan) timelinessOf(s *step, objective dotterclock.Millis) timeliness {
 	if s.LongRunning {
--- a/internal/job/dotterboard/plan_test.go
+++ b/internal/job/dotterboard/plan_test.go
@@ -68,6 +68,23 @@
 	s.requireNoViolations()
 }
 
+// TestMissedTasksGoFirst guards against long-running tasks that have to restart and wait for
+// as long as quick tasks take each gap on a full service.
+func TestMissedTasksGoFirst(t *testing.T) {
+	s := newShard(t, 2)
+	s.run(200)
+	lasting := s.submit(1, lastingStep(4))
+	s.until(1000, func() bool { return len(s.workersOf(lasting)) == 4 })
+	s.pool.SetDraining(s.workersOf(lasting)[0], true)
+	number := 2
+	for end := s.clock.Now() + 8000; s.clock.Now() < end; s.run(50) {
+		s.submit(number, tasks(8, 400)) // four times what fits
+		number++
+	}
+	assert.Len(t, s.workersOf(lasting), 4)
+	s.requireNoViolations()
+}
+
 // TestOrderOfSteps checks that of two jobs that wait for the only worker, the one that
 // is worth more at that time starts first.
 func TestOrderOfSteps(t *testing.T) {
