--- a/internal/tool/dotterexplain/explain.go
+++ b/internal/tool/dotterexplain/explain.go
@@ -68,8 +68,12 @@
 	return lines, nil
 }
 
+// lookBack is how long before the first line of the job lines of its workers are of interest:
+// placing a task is not logged, so that a worker may have restarted under it before.
+const lookBack = 5000 // milliseconds
+
 // relatedLines returns the other lines, between the first and the last line of the
-// job, that concern every job or one of the job's workers.
+// job, that concern every job or one of the job's workers; the latter also from before.
 func relatedLines(jobLines, others []Line) []Line {
 	first, last := slices.MinFunc(jobLines, compareTime).At, slices.MaxFunc(jobLines, compareTime).At
 	workers := map[any]bool{}
@@ -80,10 +84,10 @@
 	}
 	var lines []Line
 	for _, l := range others {
-		if l.At < first || l.At > last {
+		if l.At < first-lookBack || l.At > last {
 			continue
 		}
-		if generalMessages[l.Message] || workers[l.Fields["Worker"]] && l.Fields["Job"] == nil {
+		if generalMessages[l.Message] && l.At >= first || workers[l.Fields["Worker"]] && l.Fields["Job"] == nil {
 			lines = append(lines, l)
 		}
 	}
