--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -23,7 +23,7 @@
 	maxListingAge = 2500 * dotterclock.Millisecond
 	// maxDirectoryAge is the age up to which the directory permits new starts. A capacity that
 	// has shrunk counts some seconds later, and a watch that waits as long as it may is shorter.
-	maxDirectoryAge = 2500 * dotterclock.Millisecond
+	maxDirectoryAge = 3000 * dotterclock.Millisecond
 	// leaseExpiryMargin covers the granularity of the owner's and the worker's clock.
 	leaseExpiryMargin = 100 * dotterclock.Millisecond
 )
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -106,7 +106,7 @@
 	go guard("advice", func() { o.advise(ownerCtx, b) })
 	go guard("interference models", func() { o.shareLearned(ownerCtx, b) })
 	go guard("sessions", func() { o.dispatch(ownerCtx, b, committer) })
-	guard("commits", func() { err = o.commit(ownerCtx, b, committer, commitChanges) })
+	guard("commits", func() { err = o.commit(ownerCtx, b, directory, committer, commitChanges) })
 	return err
 }
 
@@ -256,7 +256,7 @@
 
 // commit writes the board's changes to the store. It commits at least once per
 // heartbeat interval, which shows other hosts that the owner is alive.
-func (o shardOwner) commit(ctx context.Context, b *dotterboard.Board, committer *dotterhead.Committer, changed <-chan struct{}) error {
+func (o shardOwner) commit(ctx context.Context, b *dotterboard.Board, directory *dotterreplica.Replica, committer *dotterhead.Committer, changed <-chan struct{}) error {
 	last := o.clock.Now()
 	learnedAt, publishedAt := last, dotterclock.Millis(0)
 	urgentInterval := o.settings.commitInterval(len(o.elector.Shards()))
@@ -279,6 +279,7 @@
 			continue
 		}
 		last = now
+		b.SetDirectoryFresh(directory.FreshAt()) // plans may pause for longer than the vacancy stays true
 		var extra []dotterkey.Entry
 		if now-learnedAt >= o.learnedInterval() {
 			learnedAt = now
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -351,6 +351,25 @@
 	assert.Empty(t, c.pool.Violations())
 }
 
+// TestIdleShardsStayOpen guards against shards that publish no room while nothing happens in
+// them, because the directory is taken for old.
+func TestIdleShardsStayOpen(t *testing.T) {
+	c := newShardedCluster(t, 3, "a1", "b1", "c1")
+	closed := func() (shards []string) {
+		for _, p := range c.hosts["a1"].peersOf("a") {
+			if p.Vacancy.Services["pool"].Capacity == 0 {
+				shards = append(shards, p.Shard)
+			}
+		}
+		return shards
+	}
+	c.await("all shards open", func() bool { return len(c.hosts["a1"].peersOf("a")) == 2 && len(closed()) == 0 })
+	for range 60 { // several times the age up to which a directory permits starts
+		time.Sleep(100 * time.Millisecond)
+		assert.Empty(t, closed())
+	}
+}
+
 // TestLongRunningTasksSpread checks over the store that tasks which find no room in their
 // shard run in others, and that a cancellation reaches them there.
 func TestLongRunningTasksSpread(t *testing.T) {
