--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -119,9 +119,9 @@
 	return len(t.crashes) > 0
 }
 
-// keepApart reports whether the task starts on trial: nothing else starts on its worker until
-// it is sound, so that a crash tells which task it was.
-func (t *task) keepApart() bool {
+// needsTrial reports whether the task's next run starts on trial: nothing else starts on its
+// worker until it is sound, so that a crash tells which task caused it.
+func (t *task) needsTrial() bool {
 	return t.crashes.weight() >= youngWeight-unprovedLoss
 }
 
@@ -166,10 +166,9 @@
 	return max(w.heardAt, w.closedAt)
 }
 
-// beginTrial keeps other tasks from starting on the worker if the task bound to it is kept
-// apart.
+// beginTrial is called when a task is bound to the worker.
 func (w *worker) beginTrial(t *task) {
-	if t.keepApart() {
+	if t.needsTrial() {
 		t.onTrial = true
 		w.trials++
 	}
@@ -257,7 +256,7 @@
 		b.markDirty(j)
 	}
 	level := zap.InfoLevel
-	if t.keepApart() {
+	if t.needsTrial() {
 		level = zap.WarnLevel
 	}
 	b.logger.Log(level, "worker crashed under a starting run", b.runFields(t, zap.Int("Weight", weight), zap.Int("SumOfWeights", t.crashes.weight()),
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -156,11 +156,10 @@
 	return strictLoadLimit + (relaxedLoadLimit-strictLoadLimit)*min(1, max(waited, b.backlog))
 }
 
-// choose returns the worker with the highest score for a member of a gang, or nil. Suspects
-// are kept apart if there are workers enough.
+// choose returns the worker with the highest score for a member of a gang, or nil.
 func (p *plan) choose(t *task) *worker {
-	if t.keepApart() {
-		if w := p.rankApart(t.step).best(); w != nil {
+	if t.needsTrial() {
+		if w := p.rankForTrial(t.step).best(); w != nil {
 			return w
 		}
 	}
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -281,15 +281,15 @@
 		return true
 	}
 	all := p.placeRanked(s, r)
-	p.placeSuspects(s)
+	p.placeTrials(s)
 	return all
 }
 
-// placeRanked binds the tasks of the step that are not suspect to the ranked workers. It
+// placeRanked binds the tasks of the step that need no trial to the ranked workers. It
 // reports whether all were bound.
 func (p *plan) placeRanked(s *step, r *ranking) bool {
 	for _, t := range s.tasks {
-		if t.phase != waiting || t.keepApart() {
+		if t.phase != waiting || t.needsTrial() {
 			continue
 		}
 		w := r.best()
@@ -310,15 +310,14 @@
 	return true
 }
 
-// placeSuspects binds each suspect of the step to a worker without another one, so that the
-// next crash tells which of them it was. Each has a ranking of its own, since the ones before
-// it have changed the workers.
-func (p *plan) placeSuspects(s *step) {
+// placeTrials binds the tasks of the step that need a trial. Each has a ranking of its own, since
+// the ones before it have closed their workers.
+func (p *plan) placeTrials(s *step) {
 	for _, t := range s.tasks {
-		if t.phase != waiting || !t.keepApart() {
+		if t.phase != waiting || !t.needsTrial() {
 			continue
 		}
-		r := p.rankApart(s)
+		r := p.rankForTrial(s)
 		w := r.best()
 		if w == nil {
 			p.board.logWaiting(p.now, s, r.obstacles)
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -15,22 +15,24 @@
 	reserved  dotterroom.Room
 	workers   workerHeap
 	obstacles [obstacleKinds]int // number of workers ruled out, by reason
-	apart     bool               // for a trial
+	trial     bool               // for a run on trial
 	starving  bool               // the load limit is ignored to end the starvation of the job
 }
 
 // rank scores all workers of the step's service for a task of the step. If none is
 // acceptable and the job is starving, the load limit is ignored.
 func (p *plan) rank(s *step) *ranking {
-	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved()})
+	return p.rankAll(&ranking{plan: p, step: s, reserved: s.Reserved()})
 }
 
-// rankApart does the same for a trial, and prefers workers on which little is at stake.
-func (p *plan) rankApart(s *step) *ranking {
-	return p.fill(&ranking{plan: p, step: s, reserved: s.Reserved(), apart: true})
+// rankForTrial does the same for a run on trial, and prefers workers on which little is at
+// stake.
+func (p *plan) rankForTrial(s *step) *ranking {
+	return p.rankAll(&ranking{plan: p, step: s, reserved: s.Reserved(), trial: true})
 }
 
-func (p *plan) fill(r *ranking) *ranking {
+// rankAll fills in a ranking of all workers of the step's service.
+func (p *plan) rankAll(r *ranking) *ranking {
 	s := r.step
 	p.board.counters.Rankings++
 	for _, w := range p.workers[s.occurrence.job.queue.Service] {
@@ -70,7 +72,7 @@
 	if !ok {
 		r.obstacles[blockedLoad]++
 	}
-	if r.apart {
+	if r.trial {
 		score -= r.exposure(w)
 	}
 	return score, ok
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -41,7 +41,7 @@
 	Worker     string  `json:",omitempty"` // to which the run is bound; empty: none
 	Address    string  `json:",omitempty"` // of that worker, which may have left the directory when the record is read
 	Checkpoint string  `json:",omitempty"`
-	Crashes    crashes `json:",omitempty"`
+	Crashes    crashes `json:",omitempty"` // since its last sound run
 
 	BoundAt dotterclock.Millis `json:",omitempty"` // time of day
 	Pending int                `json:",omitempty"` // weight of the worker's crash once it is proved
