--- a/internal/task/dotterowner/crash.go
+++ b/internal/task/dotterowner/crash.go
@@ -36,11 +36,17 @@
 		zap.Int("Crashes", ended.Crashes), zap.String("State", string(ended.State)))
 }
 
-// hasSuspect reports whether an attempt on w belongs to a task under which processes of workers
-// have ended, and is not sound.
+// isSuspect reports whether a belongs to a task under which processes of workers have ended, and
+// is not sound.
+func (o *Owner) isSuspect(a *attempt) bool {
+	e, ok := o.ledger.Entry(a.task.ID)
+	return ok && e.Crashes > 0 && !a.sound
+}
+
+// hasSuspect reports whether any attempt on w is suspect.
 func (o *Owner) hasSuspect(w *worker) bool {
 	for _, a := range w.attempts {
-		if e, ok := o.ledger.Entry(a.task.ID); ok && e.Crashes > 0 && !a.sound {
+		if o.isSuspect(a) {
 			return true
 		}
 	}
--- a/internal/task/dotterowner/crash_test.go
+++ b/internal/task/dotterowner/crash_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
@@ -53,19 +52,29 @@
 // TestRestartsOfWorkersAreNoFault checks that tasks which have been at work are not failed for
 // restarts of their workers.
 func TestRestartsOfWorkersAreNoFault(t *testing.T) {
-	t.Parallel()
-	p := newPool(t, 2)
-	o := p.open(p.options("a/1"))
-	defer o.Stop()
-	ids := p.submit(o, repeat(4, task(true, 60_000))...)
-	for range 5 {
-		p.advanceBy(12 * dotterclock.Second)
-		p.restart("d-w0")
-		p.restart("d-w1")
+	tests := map[string]dotterclock.Millis{
+		"long after each start":            12 * dotterclock.Second,
+		"before the first regular renewal": 3 * dotterclock.Second,
 	}
-	for _, id := range ids {
-		p.untilState(o, id, dottertask.StateDone, 300*dotterclock.Second)
-		require.Greater(t, p.startsOf(id), 3)
+	for name, pause := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPool(t, 2)
+			o := p.open(p.options("a/1"))
+			defer o.Stop()
+			ids := p.submit(o, repeat(4, task(true, 60_000))...)
+			for starts := range 6 {
+				p.advanceUntil(60*dotterclock.Second, func() bool {
+					return !slices.ContainsFunc(ids, func(id dottertask.ID) bool { return p.startsOf(id) <= starts })
+				})
+				p.advanceBy(pause)
+				p.restart("d-w0")
+				p.restart("d-w1")
+			}
+			for _, id := range ids {
+				p.untilState(o, id, dottertask.StateDone, 300*dotterclock.Second)
+			}
+			p.checkInvariants()
+		})
 	}
-	p.checkInvariants()
 }
--- a/internal/task/dotterowner/renewals.go
+++ b/internal/task/dotterowner/renewals.go
@@ -90,6 +90,9 @@
 		if a.phase == phaseRunning {
 			next = min(next, nextPoll(a, now))
 		}
+		if o.isSuspect(a) {
+			next = min(next, max(a.startedAt+soundAge, now+minPollInterval))
+		}
 	}
 	return next
 }
