--- a/internal/job/dotterdispatch/dispatcher_test.go
+++ b/internal/job/dotterdispatch/dispatcher_test.go
@@ -46,6 +46,7 @@
 	pool.AddJob(j)
 	b.Accept(clock.Now(), 0, j)
 	require.Eventually(t, func() bool {
+		b.SetDirectoryFresh(clock.Now())
 		b.Plan(clock.Now(), clock.Now())
 		batch, err := b.Batch(30)
 		require.NoError(t, err)
@@ -84,6 +85,7 @@
 	b.UpdateDirectory(clock.Now(), map[string]dotterworker.Worker{"w0": w})
 	d.Sync(t.Context())
 	commit := func() {
+		b.SetDirectoryFresh(clock.Now())
 		b.Plan(clock.Now(), clock.Now())
 		batch, err := b.Batch(30)
 		require.NoError(t, err)
