--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -1,6 +1,7 @@
 package dotterboard
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -373,3 +374,23 @@
 	assert.Equal(t, 1, s.pool.Starts(id))
 	s.requireNoViolations()
 }
+
+// TestCrashOfSilentWorkerCounts guards against a task that crashes workers whose last renewal
+// got no answer before they closed their connections, and which are away for longer than
+// their lease.
+func TestCrashOfSilentWorkerCounts(t *testing.T) {
+	s := newShard(t, 8)
+	s.run(200)
+	s.pool.ReturnAfter(9000)
+	id := s.submit(1, tasks(2, 400))
+	s.pool.MakeDeadly(firstTask(id))
+	starts := 0
+	for end := s.clock.Now() + 60_000; s.clock.Now() < end && !s.state(id).Final(); s.run(10) {
+		if n := s.pool.StartsOf(firstTask(id)); n > starts {
+			starts = n
+			s.board.RenewalFailed(s.clock.Now(), s.board.find(firstTask(id)).worker.ID, errors.New("no answer in time"))
+		}
+	}
+	assert.Equal(t, dotterjob.Failed, s.state(id))
+	s.requireNoViolations()
+}
