--- a/internal/job/dotterboard/crash.go
+++ b/internal/job/dotterboard/crash.go
@@ -99,14 +99,15 @@
 	return strings.Join(ids, ", ")
 }
 
-// closure is the end of the connections to a worker.
+// closure records that a worker closed its connections.
 type closure struct {
 	worker    string
 	at        dotterclock.Millis
 	unrelated bool // none of the worker's runs had just started
 }
 
-// markCrashed releases a task whose run ended with its worker, and counts that against it.
+// markCrashed releases a task whose run ended with its worker, counts the crash against the task
+// if the run was young, and fails its job if that exhausts the task. reason is logged.
 func (b *Board) markCrashed(now dotterclock.Millis, w *worker, t *task, proved bool, reason string) {
 	b.recordCrash(now, w, t, proved)
 	b.markLost(now, t, reason)
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -173,7 +173,7 @@
 const replacedRetryDelay = 1000 * dotterclock.Millisecond
 
 // handleReplacement processes the answer of another incarnation at the worker's address. A
-// worker has its address for life, so that its runs are over and their leases are of no account.
+// worker keeps its address for life, so its runs are over, whatever their leases say.
 func (b *Board) handleReplacement(now dotterclock.Millis, w *worker) {
 	w.replacedAt = now
 	if w.Address != w.knownAt {
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -21,8 +21,9 @@
 	// maxListingAge is the age up to which a worker's listing permits new starts: it covers
 	// a renewal for which the worker waits as long as it may, and the answer.
 	maxListingAge = 2500 * dotterclock.Millisecond
-	// maxDirectoryAge is the age up to which the directory permits new starts. A capacity that
-	// has shrunk counts some seconds later, and a watch that waits as long as it may is shorter.
+	// maxDirectoryAge is the age up to which the directory permits new starts. It covers a watch
+	// that waits as long as it may; together with startValidity it is below the time for which
+	// the platform still allows starts by a capacity that has shrunk.
 	maxDirectoryAge = 3000 * dotterclock.Millisecond
 	// leaseExpiryMargin covers the granularity of the owner's and the worker's clock.
 	leaseExpiryMargin = 100 * dotterclock.Millisecond
