Define tenants of the configuration and the tenant of a job

Cause: the configuration of some deployments has tenants with keys, a weight and a cap, which nothing reads yet. Change: the values at which the parts meet: Tenant, Queue.Public, lookups of a Document by name and by key, Job.Tenant. Nothing uses them yet. Result: TestTenantByKey passes; no behaviour changes.

--- a/internal/model/dotterjob/job.go
+++ b/internal/model/dotterjob/job.go
@@ -22,6 +22,7 @@
 type Job struct {
 	ID         ID
 	Queue      string
+	Tenant     string             `json:",omitempty"` // that submitted it; empty: none, as on public queues
 	AcceptedAt dotterclock.Millis // on the clock of the host that accepted it
 	Spec       string
 	Steps      []Step
--- a/internal/model/dotterqueues/document.go
+++ b/internal/model/dotterqueues/document.go
@@ -17,6 +17,7 @@
 	Stretch     float64            // factor on the longest chain of work in the target run time
 	Target      dotterclock.Millis // added to Stretch times the longest chain of work
 	Advice      *Advice            // nil if every worker of the service may run its tasks
+	Public      bool               // calls need no key, and its jobs belong to no tenant
 }
 
 // Advice is the time that the queue's admission policy takes to answer, and how long
@@ -59,6 +60,8 @@
 	Limits   Limits
 	queues   map[string]Queue
 	byHost   map[string][]Queue // by host name, longest prefix first
+	tenants  map[string]Tenant  // by name; empty if the configuration has no tenants
+	byKey    map[string]string  // names of tenants by key
 }
 
 // NewDocument returns a document with the queues. Of several queues with the same
@@ -80,6 +83,39 @@
 	return d
 }
 
+// WithTenants returns d with the tenants. Of several tenants with the same name or key the
+// last one is used.
+func (d Document) WithTenants(tenants []Tenant) Document {
+	d.tenants, d.byKey = map[string]Tenant{}, map[string]string{}
+	for _, t := range tenants {
+		d.tenants[t.Name] = t
+		for _, key := range t.Keys {
+			d.byKey[key] = t.Name
+		}
+	}
+	return d
+}
+
+// HasTenants reports whether callers of queues that are not public need a key.
+func (d Document) HasTenants() bool {
+	return len(d.tenants) > 0
+}
+
+// Tenant returns the tenant called name, or false if there is none.
+func (d Document) Tenant(name string) (Tenant, bool) {
+	t, ok := d.tenants[name]
+	return t, ok
+}
+
+// TenantByKey returns the tenant that the key belongs to, or false if the key is unknown.
+func (d Document) TenantByKey(key string) (Tenant, bool) {
+	name, ok := d.byKey[key]
+	if !ok {
+		return Tenant{}, false
+	}
+	return d.Tenant(name)
+}
+
 // Queue returns the queue called name, or false if there is none.
 func (d Document) Queue(name string) (Queue, bool) {
 	q, ok := d.queues[name]
--- /dev/null
+++ b/internal/model/dotterqueues/tenant_test.go
@@ -0,0 +1,36 @@
+package dotterqueues
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestTenantByKey guards against a caller that is taken for another tenant.
+func TestTenantByKey(t *testing.T) {
+	d := NewDocument(1, nil, nil, Limits{}).WithTenants([]Tenant{
+		{Name: "north", Keys: []string{"n1", "n2"}},
+		{Name: "south", Keys: []string{"s1"}},
+		{Name: "locked"},
+	})
+	tests := map[string]struct {
+		key  string
+		want string // name of the tenant; empty if the key is unknown
+	}{
+		"first key":      {key: "n1", want: "north"},
+		"second key":     {key: "n2", want: "north"},
+		"another tenant": {key: "s1", want: "south"},
+		"unknown key":    {key: "x"},
+		"prefix":         {key: "n"},
+		"no key":         {},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tenant, ok := d.TenantByKey(tc.key)
+			assert.Equal(t, tc.want != "", ok)
+			assert.Equal(t, tc.want, tenant.Name)
+		})
+	}
+	assert.True(t, d.HasTenants())
+	assert.False(t, NewDocument(1, nil, nil, Limits{}).HasTenants())
+}
