Count a crash that closes the connections of a silent worker

Cause: a closed connection was noted only if it made the first renewal fail. A worker that had been silent before it crashed, and was away for longer than its lease, counted nothing. Change: a closure is noted whenever a renewal first finds it. The run's age is taken at that moment, so that runs which were at work before are not blamed. Before: TestCrashOfSilentWorkerCounts fails, 3 starts after 3 crashes are exceeded.

--- a/internal/job/dotterboard/crash_test.go
+++ b/internal/job/dotterboard/crash_test.go
@@ -394,3 +394,31 @@
 	assert.Equal(t, dotterjob.Failed, s.state(id))
 	s.requireNoViolations()
 }
+
+// TestSilentWorkerIsNoFaultOfSoundRuns guards against blaming a run that was at work long before
+// its silent worker closed its connections.
+func TestSilentWorkerIsNoFaultOfSoundRuns(t *testing.T) {
+	tests := map[string]struct {
+		atWork dotterclock.Millis // how long the run is at work before its worker crashes
+		want   int                // crashes counted against the task
+	}{
+		"just started": {atWork: 100, want: 1},
+		"sound":        {atWork: 1500, want: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 4)
+			s.run(200)
+			s.pool.ReturnAfter(9000)
+			id := s.submit(1, tasks(1, 30_000))
+			s.until(1000, func() bool { return len(s.workersOf(id)) == 1 })
+			on := s.workersOf(id)[0]
+			s.run(tc.atWork)
+			s.board.RenewalFailed(s.clock.Now(), on, errors.New("no answer in time"))
+			s.pool.Crash(on)
+			s.until(10_000, func() bool { return s.pool.Starts(id) == 2 })
+			assert.Len(t, s.board.find(firstTask(id)).crashes, tc.want)
+			s.requireNoViolations()
+		})
+	}
+}
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -55,11 +55,12 @@
 	if !ok {
 		return
 	}
+	// A worker may be silent for a while before a run crashes it.
+	if w.closedAt == 0 && errors.Is(err, dotterelusher.ErrWorkerClosed) {
+		b.noteClosed(now, w)
+	}
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
-		if errors.Is(err, dotterelusher.ErrWorkerClosed) {
-			b.noteClosed(now, w)
-		}
 		b.logger.Warn("worker does not answer", zap.String("Worker", id), zap.String("FailureDomain", w.FailureDomain), zap.String("Rack", w.Rack), zap.Int("Runs", len(w.runs)),
 			zap.Int64("HeardMsAgo", int64(now-w.heardAt)), zap.Error(err))
 	}
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -26,7 +26,7 @@
 	heardAt          dotterclock.Millis // when its last listing arrived
 	unansweredSince  dotterclock.Millis // first failed renewal since heardAt; 0: none
 	renewalRefused   bool               // whether its last answer to a renewal was a refusal
-	closedAt         dotterclock.Millis // when it closed its connections, if that made the first renewal fail since heardAt; 0: it did not
+	closedAt         dotterclock.Millis // when a renewal since heardAt first found its connections closed; 0: none did
 	replacedAt       dotterclock.Millis // when another incarnation last answered at its address; 0: none has
 	mayHaveRestarted bool               // whether it may have restarted since heardAt
 	lastEnd          int64              // highest number of an end processed
