--- a/internal/model/dotterqueues/document.go
+++ b/internal/model/dotterqueues/document.go
@@ -101,6 +101,11 @@
 	return len(d.tenants) > 0
 }
 
+// Tenants returns the tenants by name. The map must not be changed.
+func (d Document) Tenants() map[string]Tenant {
+	return d.tenants
+}
+
 // Tenant returns the tenant called name, or false if there is none.
 func (d Document) Tenant(name string) (Tenant, bool) {
 	t, ok := d.tenants[name]
