--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -168,15 +168,16 @@
 	}
 }
 
-// State returns the visible state of a job, or false if the board is not the home of the job.
-func (b *Board) State(id dotterjob.ID) (dotterjob.State, bool) {
+// State returns the visible state of a job and the tenant that it belongs to, or false if the
+// board is not the home of the job.
+func (b *Board) State(id dotterjob.ID) (state dotterjob.State, tenant string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j, ok := b.jobs[id]
 	if !ok || j.visiting {
-		return "", false
+		return "", "", false
 	}
-	return j.state(), true
+	return j.state(), j.Tenant, true
 }
 
 // Pending returns, by queue, the number of open jobs of which no task has started.
--- a/internal/job/dotterboard/exclude_test.go
+++ b/internal/job/dotterboard/exclude_test.go
@@ -145,7 +145,7 @@
 			id := s.submit(1, tasks(2, 300))
 			leaves(s, id)
 			before := s.pool.Starts(id)
-			_, known := s.board.State(id)
+			_, _, known := s.board.State(id)
 			require.False(t, known)
 			s.board.Accept(s.clock.Now(), 0, s.accepted[0])
 			s.run(1000)
--- a/internal/job/dotterboard/federation_test.go
+++ b/internal/job/dotterboard/federation_test.go
@@ -125,7 +125,7 @@
 
 // state returns the state of the job at its home.
 func (f *federation) state(id dotterjob.ID) dotterjob.State {
-	state, ok := f.shards[f.homes[id]].board.State(id)
+	state, _, ok := f.shards[f.homes[id]].board.State(id)
 	if !ok {
 		return "" // the new home has not absorbed it yet
 	}
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -272,7 +272,7 @@
 
 // state returns the state of a job that the board must have.
 func (s *shard) state(id dotterjob.ID) dotterjob.State {
-	state, ok := s.board.State(id)
+	state, _, ok := s.board.State(id)
 	require.True(s.t, ok, "unknown job %s", id)
 	return state
 }
--- a/internal/job/dotterdispatch/dispatcher_test.go
+++ b/internal/job/dotterdispatch/dispatcher_test.go
@@ -51,7 +51,7 @@
 		batch, err := b.Batch(30)
 		require.NoError(t, err)
 		b.HandleCommitted(clock.Now(), batch)
-		state, _ := b.State(j.ID)
+		state, _, _ := b.State(j.ID)
 		return state == dotterjob.Completed
 	}, 10*time.Second, 5*time.Millisecond)
 	require.Equal(t, 1, pool.Starts(j.ID))
--- a/internal/job/dotterentry/keys.go
+++ b/internal/job/dotterentry/keys.go
@@ -12,7 +12,7 @@
 	PartitionKey = "Dotter/Partition" // how the workers are divided into shards
 	HeadPrefix   = "Dotter/Head/"     // heads of the shards
 	CancelPrefix = "Dotter/Cancel/"   // cancellations of jobs in any shard
-	homePrefix   = "Dotter/Home/"     // shards of the jobs
+	homePrefix   = "Dotter/Home/"     // shards and tenants of the jobs
 
 	// InterferencePrefix is the prefix of the owners' estimates of interference between images.
 	InterferencePrefix = "Dotter/Learned/"
@@ -33,7 +33,7 @@
 	return InterferencePrefix + shard
 }
 
-// HomeKey returns the key of the job's home, whose value is the name of a shard.
+// HomeKey returns the key of the job's home, whose value is a Home.
 func HomeKey(id dotterjob.ID) string {
 	return homePrefix + string(id)
 }
--- a/internal/job/dotterentry/methods.go
+++ b/internal/job/dotterentry/methods.go
@@ -1,6 +1,7 @@
 package dotterentry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,11 +23,46 @@
 	Accepted bool
 	Unknown  bool // the write may have taken effect
 	NoJob    bool // there is no such job to cancel
+
+	OtherTenant bool `json:",omitempty"` // the caller may not access the job with this id
 }
 
 type stateReply struct {
-	Known bool // the answering host owns the job's home
-	State dotterjob.State
+	Known  bool // the answering host owns the job's home
+	State  dotterjob.State
+	Tenant string `json:",omitempty"` // of the job
+}
+
+// submission is the argument of a forwarded submission. For a caller without tenants it is
+// encoded as the job alone, as in earlier versions.
+type submission struct {
+	dotterjob.Job
+	Caller dotterjob.Caller `json:",omitzero"`
+}
+
+// cancellation is the argument of a forwarded cancellation. For a caller without tenants it is
+// encoded as the id alone, as in earlier versions.
+type cancellation struct {
+	ID     dotterjob.ID
+	Caller dotterjob.Caller
+}
+
+// MarshalJSON implements json.Marshaler.
+func (c cancellation) MarshalJSON() ([]byte, error) {
+	if c.Caller == (dotterjob.Caller{}) {
+		return json.Marshal(c.ID)
+	}
+	type plain cancellation
+	return json.Marshal(plain(c))
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *cancellation) UnmarshalJSON(data []byte) error {
+	if bytes.HasPrefix(data, []byte(`"`)) {
+		return json.Unmarshal(data, &c.ID)
+	}
+	type plain cancellation
+	return json.Unmarshal(data, (*plain)(c))
 }
 
 type pendingReply struct {
@@ -45,28 +81,29 @@
 }
 
 func (s *Service) handleSubmit(ctx context.Context, args json.RawMessage) (any, error) {
-	var j dotterjob.Job
-	if err := json.Unmarshal(args, &j); err != nil {
+	var a submission
+	if err := json.Unmarshal(args, &a); err != nil {
 		return nil, err
 	}
-	shard, ok := s.boards.Home(j)
+	shard, ok := s.boards.Home(a.Job)
 	if !ok || s.health.Failing() { // the caller may stop waiting before a try would end
 		return writeReply{}, nil
 	}
-	err := s.submitLocally(ctx, shard, j)
-	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown)}, nil
+	err := s.submitLocally(ctx, a.Caller, shard, a.Job)
+	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown), OtherTenant: errors.Is(err, ErrOtherTenant)}, nil
 }
 
 func (s *Service) handleCancel(ctx context.Context, args json.RawMessage) (any, error) {
-	var id dotterjob.ID
-	if err := json.Unmarshal(args, &id); err != nil {
+	var a cancellation
+	if err := json.Unmarshal(args, &a); err != nil {
 		return nil, err
 	}
 	if s.health.Failing() {
 		return writeReply{}, nil
 	}
-	err := s.cancelLocally(ctx, id)
-	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown), NoJob: errors.Is(err, ErrNoJob)}, nil
+	err := s.cancelLocally(ctx, a.Caller, a.ID)
+	other := errors.Is(err, ErrOtherTenant)
+	return writeReply{Accepted: err == nil, Unknown: errors.Is(err, ErrUnknown), NoJob: other || errors.Is(err, ErrNoJob), OtherTenant: other}, nil
 }
 
 func (s *Service) handleState(_ context.Context, args json.RawMessage) (any, error) {
@@ -76,8 +113,8 @@
 	}
 	for _, shard := range s.elector.Shards() {
 		if b := s.boards.Board(shard); b != nil {
-			if state, known := b.State(id); known {
-				return stateReply{Known: true, State: state}, nil
+			if state, tenant, known := b.State(id); known {
+				return stateReply{Known: true, State: state, Tenant: tenant}, nil
 			}
 		}
 	}
--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -28,6 +28,9 @@
 	ErrUnknown = eris.New("jobs: no answer from the store, the call may have taken effect")
 	// ErrNoJob means that there is no such job.
 	ErrNoJob = eris.New("jobs: no such job")
+	// ErrOtherTenant means that the caller may not access the job with this id. Callers are
+	// told of their own submission only; otherwise the job does not exist for them.
+	ErrOtherTenant = eris.New("jobs: the id is in use, choose another one")
 	// ErrUnavailable means that neither the owner nor the store can be reached.
 	ErrUnavailable = eris.New("jobs: neither the owner nor the store can be reached")
 )
@@ -113,30 +116,32 @@
 }
 
 // Submit accepts the job durably; a job that was accepted before is left unchanged. Its
-// error is ErrRefused or ErrUnknown.
-func (s *Service) Submit(ctx context.Context, j dotterjob.Job) error {
+// error is ErrRefused, ErrUnknown, or ErrOtherTenant if that job is not the caller's.
+func (s *Service) Submit(ctx context.Context, caller dotterjob.Caller, j dotterjob.Job) error {
 	shard, ok := s.boards.Home(j)
 	if !ok {
 		return eris.Wrap(ErrRefused, "the shards are not known yet")
 	}
 	if !s.StoreUnavailable() {
-		err := s.submitLocally(ctx, shard, j)
+		err := s.submitLocally(ctx, caller, shard, j)
 		if !errors.Is(err, ErrRefused) {
 			return err
 		}
 	}
-	return s.forwardSubmit(ctx, shard, j)
+	return s.forwardSubmit(ctx, caller, shard, j)
 }
 
 // submitLocally creates the job in the shard. While the store fails, it reads first: a write
 // that gets no answer leaves the caller without a truthful refusal, a read does not.
-func (s *Service) submitLocally(ctx context.Context, shard string, j dotterjob.Job) error {
+func (s *Service) submitLocally(ctx context.Context, caller dotterjob.Caller, shard string, j dotterjob.Job) error {
 	value, err := json.Marshal(j)
 	if err != nil {
 		return eris.Wrap(ErrRefused, err.Error())
 	}
 	if s.storeFails() {
-		switch _, err := s.readHome(ctx, j.ID); {
+		switch home, _, err := s.readHome(ctx, j.ID); {
+		case err == nil && !caller.MayAccess(home.Tenant):
+			return ErrOtherTenant
 		case err == nil: // accepted before
 			return nil
 		case !errors.Is(err, ErrNoJob):
@@ -145,18 +150,41 @@
 	}
 	t := dotterkey.Transaction{
 		Expect: map[string]dotterkey.Version{HomeKey(j.ID): 0},
-		Puts:   []dotterkey.Entry{{Key: HomeKey(j.ID), Value: []byte(shard)}, {Key: JobKey(shard, j.ID), Value: value}},
+		Puts:   []dotterkey.Entry{{Key: HomeKey(j.ID), Value: Home{Shard: shard, Tenant: j.Tenant}.Value()}, {Key: JobKey(shard, j.ID), Value: value}},
 	}
-	_, err = s.write(ctx, "submit", j.ID, t)
+	current, err := s.write(ctx, "submit", j.ID, t)
 	switch {
 	case errors.Is(err, errConflict): // accepted before, perhaps in another shard
-		return nil
+		return s.checkAccepted(ctx, caller, j.ID, current)
 	case err == nil:
 		s.homes.Add(j.ID, shard)
 	}
 	return err
 }
 
+// checkAccepted returns nil if the caller may access the job whose home prevented a
+// submission, as found in the current entries. Its error is ErrOtherTenant or ErrUnknown.
+func (s *Service) checkAccepted(ctx context.Context, caller dotterjob.Caller, id dotterjob.ID, current []dotterkey.Entry) error {
+	if !caller.Restricted {
+		return nil
+	}
+	i := slices.IndexFunc(current, func(e dotterkey.Entry) bool { return e.Key == HomeKey(id) && e.Version != 0 })
+	var home Home
+	var err error
+	if i >= 0 {
+		home, err = s.parseHome(id, current[i].Value)
+	} else {
+		home, _, err = s.readHome(ctx, id)
+	}
+	switch {
+	case err != nil:
+		return ErrUnknown
+	case !caller.MayAccess(home.Tenant):
+		return ErrOtherTenant
+	}
+	return nil
+}
+
 // write commits the transaction, and repeats it. Once it may have taken effect, it is repeated
 // until ctx ends, since callers cannot repeat a call whose outcome is unknown. Its error is
 // errConflict with the current entries of the keys in Expect, ErrUnknown or ErrRefused.
@@ -191,14 +219,16 @@
 }
 
 // forwardSubmit submits the job through the host of an owner, that of the shard first.
-func (s *Service) forwardSubmit(ctx context.Context, shard string, j dotterjob.Job) error {
-	reply, err := s.forward(ctx, shard, methodSubmit, j)
+func (s *Service) forwardSubmit(ctx context.Context, caller dotterjob.Caller, shard string, j dotterjob.Job) error {
+	reply, err := s.forward(ctx, shard, methodSubmit, submission{j, caller})
 	switch {
 	case err != nil:
 		return err
 	case reply.Accepted:
 		s.logger.Info("job submitted through an owner", zap.String("Job", string(j.ID)), zap.String("Shard", shard))
 		return nil
+	case reply.OtherTenant:
+		return ErrOtherTenant
 	case reply.Unknown:
 		return ErrUnknown
 	}
@@ -228,21 +258,24 @@
 	return writeReply{}, ErrRefused
 }
 
-// Cancel cancels the job durably. Its error is ErrNoJob, ErrUnknown or ErrUnavailable.
-func (s *Service) Cancel(ctx context.Context, id dotterjob.ID) error {
+// Cancel cancels the job durably. Its error is ErrNoJob, ErrOtherTenant, ErrUnknown or
+// ErrUnavailable.
+func (s *Service) Cancel(ctx context.Context, caller dotterjob.Caller, id dotterjob.ID) error {
 	if !s.StoreUnavailable() {
-		err := s.cancelLocally(ctx, id)
+		err := s.cancelLocally(ctx, caller, id)
 		if !errors.Is(err, ErrUnavailable) {
 			return err
 		}
 	}
 	shard, _ := s.homes.Get(id)
-	reply, err := s.forward(ctx, shard, methodCancel, id)
+	reply, err := s.forward(ctx, shard, methodCancel, cancellation{id, caller})
 	switch {
 	case errors.Is(err, ErrUnknown) || err == nil && reply.Unknown:
 		return ErrUnknown
 	case err != nil:
 		return ErrUnavailable
+	case reply.OtherTenant:
+		return ErrOtherTenant
 	case reply.NoJob:
 		return ErrNoJob
 	case reply.Accepted:
@@ -252,14 +285,17 @@
 }
 
 // cancelLocally creates the cancellation's key. ErrUnavailable means that nothing was written.
-func (s *Service) cancelLocally(ctx context.Context, id dotterjob.ID) error {
+func (s *Service) cancelLocally(ctx context.Context, caller dotterjob.Caller, id dotterjob.ID) error {
 	for range cancelAttempts {
-		home, err := s.readHome(ctx, id)
+		home, version, err := s.readHome(ctx, id)
 		if err != nil {
 			return err
 		}
+		if !caller.MayAccess(home.Tenant) {
+			return ErrOtherTenant
+		}
 		t := dotterkey.Transaction{
-			Expect: map[string]dotterkey.Version{HomeKey(id): home.Version, CancelKey(id): 0},
+			Expect: map[string]dotterkey.Version{HomeKey(id): version, CancelKey(id): 0},
 			Puts:   []dotterkey.Entry{{Key: CancelKey(id), Value: []byte("{}")}},
 		}
 		current, err := s.write(ctx, "cancel", id, t)
@@ -277,64 +313,90 @@
 	return ErrUnavailable
 }
 
-// readHome reads the home of the job from the store. Its error is ErrNoJob or ErrUnavailable.
-func (s *Service) readHome(ctx context.Context, id dotterjob.ID) (dotterkey.Entry, error) {
+// readHome reads the home of the job from the store and returns it with the version of its
+// key. Its error is ErrNoJob or ErrUnavailable.
+func (s *Service) readHome(ctx context.Context, id dotterjob.ID) (Home, dotterkey.Version, error) {
 	call, cancel := context.WithTimeout(ctx, storeCallTimeout.Duration())
 	defer cancel()
-	home, err := s.store.Get(call, HomeKey(id))
+	e, err := s.store.Get(call, HomeKey(id))
 	if errors.Is(err, dotterelusher.ErrStoreNotFound) {
-		return home, ErrNoJob
+		return Home{}, 0, ErrNoJob
 	}
 	if err != nil {
 		s.failed.Store(int64(s.clock.Now()))
 		s.logger.Info("home of the job not read", zap.String("Job", string(id)), zap.Error(err))
-		return home, ErrUnavailable
+		return Home{}, 0, ErrUnavailable
+	}
+	home, err := s.parseHome(id, e.Value)
+	if err != nil {
+		return Home{}, 0, ErrUnavailable
+	}
+	s.homes.Add(id, home.Shard)
+	return home, e.Version, nil
+}
+
+// parseHome decodes the home of a job and logs an error. Whose job it is is not known then.
+func (s *Service) parseHome(id dotterjob.ID, value []byte) (Home, error) {
+	home, err := ParseHome(value)
+	if err != nil {
+		s.logger.Error("home of the job not decoded", zap.String("Job", string(id)), zap.Error(err))
+	}
+	return home, err
+}
+
+// State returns the job's state. Its error is ErrNoJob, ErrOtherTenant or ErrUnavailable.
+func (s *Service) State(ctx context.Context, caller dotterjob.Caller, id dotterjob.ID) (dotterjob.State, error) {
+	state, tenant, err := s.find(ctx, id)
+	switch {
+	case err != nil:
+		return "", err
+	case !caller.MayAccess(tenant):
+		return "", ErrOtherTenant
 	}
-	s.homes.Add(id, string(home.Value))
-	return home, nil
+	return state, nil
 }
 
-// State returns the job's state. Its error is ErrNoJob or ErrUnavailable.
-func (s *Service) State(ctx context.Context, id dotterjob.ID) (dotterjob.State, error) {
+// find returns the job's state and its tenant. Its error is ErrNoJob or ErrUnavailable.
+func (s *Service) find(ctx context.Context, id dotterjob.ID) (state dotterjob.State, tenant string, err error) {
 	remembered, ok := s.homes.Get(id)
 	if ok {
-		if state, known := s.stateAt(ctx, remembered, id); known {
-			return state, nil
+		if state, tenant, known := s.stateAt(ctx, remembered, id); known {
+			return state, tenant, nil
 		}
 	}
 	if s.StoreUnavailable() {
 		return s.stateAnywhere(ctx, id)
 	}
-	home, err := s.readHome(ctx, id)
+	home, _, err := s.readHome(ctx, id)
 	if err != nil {
-		return "", err
+		return "", "", err
 	}
-	shard := string(home.Value)
-	if shard != remembered {
-		if state, known := s.stateAt(ctx, shard, id); known {
-			return state, nil
+	if home.Shard != remembered {
+		if state, tenant, known := s.stateAt(ctx, home.Shard, id); known {
+			return state, tenant, nil
 		}
 	}
-	return s.storedState(ctx, shard, id)
+	state, err = s.storedState(ctx, home.Shard, id)
+	return state, home.Tenant, err
 }
 
-// stateAt asks the owner of the shard for the job's state. It returns false if the owner
-// cannot be reached or is not the job's home.
-func (s *Service) stateAt(ctx context.Context, shard string, id dotterjob.ID) (dotterjob.State, bool) {
+// stateAt asks the owner of the shard for the job's state and its tenant. It returns false if
+// the owner cannot be reached or is not the job's home.
+func (s *Service) stateAt(ctx context.Context, shard string, id dotterjob.ID) (dotterjob.State, string, bool) {
 	var reply stateReply
 	err := s.callOwner(ctx, shard, methodState, id, &reply)
-	return reply.State, err == nil && reply.Known
+	return reply.State, reply.Tenant, err == nil && reply.Known
 }
 
 // stateAnywhere asks all owners, for a host that cannot read the job's home.
-func (s *Service) stateAnywhere(ctx context.Context, id dotterjob.ID) (dotterjob.State, error) {
+func (s *Service) stateAnywhere(ctx context.Context, id dotterjob.ID) (state dotterjob.State, tenant string, err error) {
 	for _, shard := range s.elector.Shards() {
-		if state, known := s.stateAt(ctx, shard, id); known {
+		if state, tenant, known := s.stateAt(ctx, shard, id); known {
 			s.homes.Add(id, shard)
-			return state, nil
+			return state, tenant, nil
 		}
 	}
-	return "", ErrUnavailable
+	return "", "", ErrUnavailable
 }
 
 // storedState derives the job's state from the store, for when the owner does not report it.
--- a/internal/job/dotterentry/service_test.go
+++ b/internal/job/dotterentry/service_test.go
@@ -122,7 +122,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), cmp.Or(tc.timeout, time.Minute))
 			defer cancel()
-			assert.ErrorIs(t, s.Submit(ctx, j), tc.want)
+			assert.ErrorIs(t, s.Submit(ctx, dotterjob.Caller{}, j), tc.want)
 			if tc.wantCommits >= 0 {
 				assert.Equal(t, tc.wantCommits, tc.store.commits.Load())
 			}
@@ -139,14 +139,14 @@
 	time.Sleep(5 * time.Millisecond)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
-	require.ErrorIs(t, s.Submit(ctx, testJob()), ErrUnknown)
+	require.ErrorIs(t, s.Submit(ctx, dotterjob.Caller{}, testJob()), ErrUnknown)
 	sent := store.commits.Load()
 	second := testJob()
 	second.ID = "0123456789abcde0"
-	assert.ErrorIs(t, s.Submit(t.Context(), second), ErrRefused)
+	assert.ErrorIs(t, s.Submit(t.Context(), dotterjob.Caller{}, second), ErrRefused)
 	assert.Equal(t, sent, store.commits.Load())
 	store.readsFail, store.lose = false, 0
-	assert.NoError(t, s.Submit(t.Context(), second), "the store answers again")
+	assert.NoError(t, s.Submit(t.Context(), dotterjob.Caller{}, second), "the store answers again")
 }
 
 // fixedClock is a clock that stands still.
@@ -166,8 +166,8 @@
 	store := &resettingStore{Store: dottermemory.New(dotterclock.NewSystem())}
 	s := newTestService(t, store, fixedHealth{away: true}, server.Address())
 	for range 2 { // the server goes on after a panic
-		assert.ErrorIs(t, s.Submit(t.Context(), testJob()), ErrUnknown)
-		assert.ErrorIs(t, s.Cancel(t.Context(), testJob().ID), ErrUnknown)
+		assert.ErrorIs(t, s.Submit(t.Context(), dotterjob.Caller{}, testJob()), ErrUnknown)
+		assert.ErrorIs(t, s.Cancel(t.Context(), dotterjob.Caller{}, testJob().ID), ErrUnknown)
 	}
 }
 
--- a/internal/server/dotterscheduler/explain_test.go
+++ b/internal/server/dotterscheduler/explain_test.go
@@ -52,7 +52,7 @@
 			fail: func(t *testing.T, c *cluster) dotterjob.ID {
 				c.store.SetWritesDown(true)
 				j := dotterjob.Job{ID: "00000000000000f1", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}}
-				require.Error(t, c.hosts["a1"].Jobs().Submit(t.Context(), j))
+				require.Error(t, c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Caller{}, j))
 				c.store.SetWritesDown(false)
 				return j.ID
 			},
@@ -63,7 +63,7 @@
 				c.store.SetDown(true)
 				c.await("the watch fails", func() bool { return c.hosts["a1"].operatorKeys.Failing() })
 				j := dotterjob.Job{ID: "00000000000000f4", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}}
-				require.ErrorIs(t, c.hosts["a1"].Jobs().Submit(t.Context(), j), dotterentry.ErrRefused)
+				require.ErrorIs(t, c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Caller{}, j), dotterentry.ErrRefused)
 				c.store.SetDown(false)
 				return j.ID
 			},
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -361,7 +361,7 @@
 			return nil, nil, err
 		}
 		if t.Home {
-			puts = append(puts, dotterkey.Entry{Key: dotterentry.HomeKey(t.Job.ID), Value: []byte(t.To)})
+			puts = append(puts, dotterkey.Entry{Key: dotterentry.HomeKey(t.Job.ID), Value: dotterentry.Home{Shard: t.To, Tenant: t.Job.Tenant}.Value()})
 		}
 	}
 	for id, c := range batch.Cancelled {
--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -176,12 +176,12 @@
 		AcceptedAt: dotterclock.Millis(time.Now().UnixMilli()),
 	}
 	c.pool.AddJob(j)
-	require.NoError(c.t, c.hosts[host].Jobs().Submit(c.t.Context(), j))
+	require.NoError(c.t, c.hosts[host].Jobs().Submit(c.t.Context(), dotterjob.Caller{}, j))
 	return j.ID
 }
 
 func (c *cluster) stateAt(host string, id dotterjob.ID) dotterjob.State {
-	state, err := c.hosts[host].Jobs().State(c.t.Context(), id)
+	state, err := c.hosts[host].Jobs().State(c.t.Context(), dotterjob.Caller{}, id)
 	if errors.Is(err, dotterentry.ErrUnavailable) {
 		return ""
 	}
@@ -205,7 +205,7 @@
 		}
 		assert.Equal(t, 5, c.pool.Starts(id))
 	}
-	_, err := c.hosts["a1"].Jobs().State(t.Context(), "ffffffffffffffff")
+	_, err := c.hosts["a1"].Jobs().State(t.Context(), dotterjob.Caller{}, "ffffffffffffffff")
 	assert.ErrorIs(t, err, dotterentry.ErrNoJob)
 	assert.Empty(t, c.pool.Violations())
 }
@@ -256,7 +256,7 @@
 	longRunning := c.submit("a1", 1, dotterjob.Step{Count: 3, LongRunning: true, Estimate: 50, Size: dotterroom.Room{MilliCores: 1000}})
 	c.await("it runs", func() bool { return c.pool.Starts(longRunning) == 3 })
 	c.store.SetDown(true)
-	err := c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Job{ID: "00000000000000aa", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}})
+	err := c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Caller{}, dotterjob.Job{ID: "00000000000000aa", Queue: testQueue, Steps: []dotterjob.Step{step(1, 10)}})
 	assert.ErrorIs(t, err, dotterentry.ErrRefused)
 	c.await("the hosts are not ready", func() bool { return !c.hosts["a1"].Ready() && !c.hosts["b1"].Ready() })
 	c.store.SetDown(false)
@@ -280,7 +280,7 @@
 	before, err := c.store.Get(t.Context(), dotterentry.JobKey("all", id))
 	require.NoError(t, err)
 	other := dotterjob.Job{ID: id, Queue: testQueue, Spec: "another", Steps: []dotterjob.Step{step(7, 50)}}
-	require.NoError(t, c.hosts["a1"].Jobs().Submit(t.Context(), other))
+	require.NoError(t, c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Caller{}, other))
 	after, err := c.store.Get(t.Context(), dotterentry.JobKey("all", id))
 	require.NoError(t, err)
 	assert.Equal(t, before, after, "a second submission must not change the accepted job")
@@ -292,9 +292,9 @@
 	c.await("an owner", func() bool { return c.owner() != "" })
 	id := c.submit("a1", 1, step(4, 60_000))
 	c.await("it runs", func() bool { return c.pool.Starts(id) == 4 })
-	require.NoError(t, c.hosts["b1"].Jobs().Cancel(t.Context(), id))
+	require.NoError(t, c.hosts["b1"].Jobs().Cancel(t.Context(), dotterjob.Caller{}, id))
 	c.await("cancelled", func() bool { return c.stateAt("a1", id) == dotterjob.Cancelled && len(c.pool.Running()) == 0 })
-	assert.ErrorIs(t, c.hosts["a1"].Jobs().Cancel(t.Context(), "ffffffffffffffff"), dotterentry.ErrNoJob)
+	assert.ErrorIs(t, c.hosts["a1"].Jobs().Cancel(t.Context(), dotterjob.Caller{}, "ffffffffffffffff"), dotterentry.ErrNoJob)
 	require.Eventually(t, func() bool { // the count may be two seconds old
 		pending, err := c.hosts["b1"].Jobs().Pending(t.Context(), testQueue)
 		return err == nil && pending == 0
@@ -383,7 +383,7 @@
 		return n
 	}
 	c.await("all tasks run", func() bool { return running() == 9 })
-	require.NoError(t, c.hosts["b1"].Jobs().Cancel(t.Context(), id))
+	require.NoError(t, c.hosts["b1"].Jobs().Cancel(t.Context(), dotterjob.Caller{}, id))
 	c.await("cancelled", func() bool { return c.stateAt("c1", id) == dotterjob.Cancelled && running() == 0 })
 	assert.Empty(t, c.pool.Violations())
 }
@@ -406,7 +406,7 @@
 	c.start("b1")
 	c.await("an owner", func() bool { return c.owner() != "" })
 	c.await("the other job is known", func() bool { return c.stateAt("b1", good) == dotterjob.Running })
-	_, err = c.hosts["b1"].Jobs().State(t.Context(), bad)
+	_, err = c.hosts["b1"].Jobs().State(t.Context(), dotterjob.Caller{}, bad)
 	assert.ErrorIs(t, err, dotterentry.ErrUnavailable)
 	assert.EqualValues(t, 1, c.hosts["b1"].Summaries()["all"].Excluded)
 }
