--- a/internal/job/dotterentry/methods.go
+++ b/internal/job/dotterentry/methods.go
@@ -77,6 +77,7 @@
 		methodCancel:  s.handleCancel,
 		methodState:   s.handleState,
 		methodPending: s.handlePending,
+		methodTenants: s.handleTenants,
 	}
 }
 
--- a/internal/job/dotterentry/service_test.go
+++ b/internal/job/dotterentry/service_test.go
@@ -177,6 +177,8 @@
 	f.Add(methodCancel, `"0123456789abcdef"`)
 	f.Add(methodState, `""`)
 	f.Add(methodPending, `{`)
+	f.Add(methodCancel, `{"ID":"0123456789abcdef","Caller":{"Restricted":true,"Tenant":"north"}}`)
+	f.Add(methodTenants, `"all"`)
 	f.Fuzz(func(t *testing.T, method, args string) {
 		store := &resettingStore{Store: dottermemory.New(dotterclock.NewSystem())}
 		clock := dotterclock.NewSystem()
--- /dev/null
+++ b/internal/server/dotterscheduler/tenants_test.go
@@ -0,0 +1,62 @@
+package dotterscheduler
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// TestEveryHostListsTenants guards against a listing that shows the usage in one shard only, or
+// none on hosts that do not own a shard, and against one that shows a key.
+func TestEveryHostListsTenants(t *testing.T) {
+	c := newShardedCluster(t, 6, "a1", "b1", "c1")
+	roomCap := dotterroom.Room{MilliCores: 1_000_000}
+	for _, s := range c.hosts {
+		document, ok := s.Configuration()
+		require.True(t, ok)
+		s.configure(document.WithTenants([]dotterqueues.Tenant{{Name: "north", Keys: []string{"secret"}, Cap: roomCap}, {Name: "south", Keys: []string{"other"}}}), map[string]bool{})
+	}
+	north := dotterjob.Caller{Restricted: true, Tenant: "north"}
+	for i, host := range []string{"a1", "b1", "c1"} {
+		j := dotterjob.Job{
+			ID: dotterjob.ID([]string{"00000000000000d1", "00000000000000d2", "00000000000000d3"}[i]), Queue: testQueue, Tenant: "north",
+			Steps: []dotterjob.Step{step(2, 60_000)},
+		}
+		c.pool.AddJob(j)
+		require.NoError(t, c.hosts[host].Jobs().Submit(t.Context(), north, j))
+	}
+	want := []dottermessage.TenantUsage{
+		{Tenant: "north", Configured: true, Running: dotterroom.Room{MilliCores: 12_000, MemoryMB: 24_000}, Cap: roomCap},
+		{Tenant: "south", Configured: true},
+	}
+	c.start("b2")
+	for name, s := range c.hosts {
+		c.await("the usage of all shards at "+name, func() bool {
+			answer := s.Tenants(t.Context())
+			return len(answer.Shards) == 3 && len(answer.Tenants) == 2 && answer.Tenants[0].Running == want[0].Running
+		})
+		if name == "b2" {
+			continue // it has the tenants of its first configuration, none
+		}
+		recorder := httptest.NewRecorder()
+		s.ServeTenants(recorder, httptest.NewRequest(http.MethodGet, "/tenants", nil))
+		assert.NotContains(t, recorder.Body.String(), "secret")
+		var answer dottermessage.TenantsAnswer
+		require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &answer))
+		assert.Equal(t, want, answer.Tenants, name)
+		assert.Equal(t, []string{"a", "b", "c"}, answer.Shards)
+		assert.Empty(t, answer.Missing)
+	}
+	c.hosts["a1"].Leave()
+	answer := c.hosts["a1"].Tenants(t.Context())
+	assert.Len(t, answer.Tenants, 2, "a tenant is listed whoever answers")
+}
--- a/internal/tool/dottercommand/program.go
+++ b/internal/tool/dottercommand/program.go
@@ -66,6 +66,7 @@
 		{"status", "show the status that an entry host knows", "Shows configuration revisions, backend servers and shards.", &statusCommand{program: p}},
 		{"decisions", "show the newest routing and placement decisions", "Shows decisions that this entry host made.", &decisionsCommand{program: p}},
 		{"explain", "show what happened to a job", "Merges the lines of several hosts' logs that concern the job, ordered by time.", &explainCommand{program: p}},
+		{"tenants", "show what the tenants of jobs have running and waiting", "Sums up all shards as their owners answer; needs the metrics' address of a host that runs dotterscheduler.", &tenantsCommand{program: p}},
 		{"usage", "show usage per partner and its agreed share", "Shows charges by partner, team and split revision.", &usageCommand{program: p}},
 	}
 	for _, e := range topLevel {
