--- a/internal/model/dotterqueues/document.go
+++ b/internal/model/dotterqueues/document.go
@@ -1,6 +1,7 @@
 package dotterqueues
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -121,6 +122,33 @@
 	return d.Tenant(name)
 }
 
+// KeysChanged returns the names of the tenants that have other keys than in the previous
+// document, or are in one of the two only, sorted.
+func (d Document) KeysChanged(previous Document) []string {
+	var names []string
+	for name := range d.tenants {
+		if !maps.Equal(d.keysOf(name), previous.keysOf(name)) {
+			names = append(names, name)
+		}
+	}
+	for name := range previous.tenants {
+		if _, ok := d.tenants[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// keysOf returns the keys of the tenant called name.
+func (d Document) keysOf(name string) map[string]bool {
+	keys := map[string]bool{}
+	for _, key := range d.tenants[name].Keys {
+		keys[key] = true
+	}
+	return keys
+}
+
 // Queue returns the queue called name, or false if there is none.
 func (d Document) Queue(name string) (Queue, bool) {
 	q, ok := d.queues[name]
--- a/internal/model/dotterqueues/tenant_test.go
+++ b/internal/model/dotterqueues/tenant_test.go
@@ -34,3 +34,23 @@
 	assert.True(t, d.HasTenants())
 	assert.False(t, NewDocument(1, nil, nil, Limits{}).HasTenants())
 }
+
+// TestKeysChanged guards against a removed key that operators cannot find in the log.
+func TestKeysChanged(t *testing.T) {
+	document := func(tenants ...Tenant) Document { return NewDocument(1, nil, nil, Limits{}).WithTenants(tenants) }
+	before := document(Tenant{Name: "north", Keys: []string{"n1", "n2"}}, Tenant{Name: "south", Keys: []string{"s1"}})
+	tests := map[string]struct {
+		after Document
+		want  []string
+	}{
+		"nothing":               {before, nil},
+		"another order, weight": {document(Tenant{Name: "south", Keys: []string{"s1"}, Weight: 2}, Tenant{Name: "north", Keys: []string{"n2", "n1"}}), nil},
+		"a key removed":         {document(Tenant{Name: "north", Keys: []string{"n1"}}, Tenant{Name: "south", Keys: []string{"s1"}}), []string{"north"}},
+		"a key replaced":        {document(Tenant{Name: "north", Keys: []string{"n1", "n2"}}, Tenant{Name: "south", Keys: []string{"s2"}}), []string{"south"}},
+		"a tenant added":        {document(Tenant{Name: "north", Keys: []string{"n1", "n2"}}, Tenant{Name: "south", Keys: []string{"s1"}}, Tenant{Name: "east", Keys: []string{"e1"}}), []string{"east"}},
+		"all tenants removed":   {Document{}, []string{"north", "south"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, tc.want, tc.after.KeysChanged(before)) })
+	}
+}
--- a/internal/server/dotterscheduler/scheduler.go
+++ b/internal/server/dotterscheduler/scheduler.go
@@ -26,6 +26,9 @@
 // in force.
 const watchWait = dotterclock.Second
 
+// maxLoggedTenants bounds the tenants that are named in one log line.
+const maxLoggedTenants = 20
+
 // configuration holds the operators' configuration and the evacuated failure domains.
 type configuration struct {
 	document   dotterqueues.Document
@@ -180,13 +183,30 @@
 func (s *Scheduler) configure(document dotterqueues.Document, outDomains map[string]bool) {
 	previous := s.configuration.Swap(&configuration{document: document, outDomains: outDomains})
 	if previous == nil || previous.document.Version != document.Version || !maps.Equal(previous.outDomains, outDomains) {
-		s.logger.Info("configuration in force", zap.Int64("Version", document.Version), zap.Any("OutDomains", outDomains))
+		fields := []zap.Field{zap.Int64("Version", document.Version), zap.Any("OutDomains", outDomains)}
+		s.logger.Info("configuration in force", append(fields, tenantFields(previous, document)...)...)
 	}
 	for _, b := range s.ownedBoards() {
 		b.Configure(document, outDomains)
 	}
 }
 
+// tenantFields returns log fields that tell which tenants' keys a new configuration changes,
+// without the keys; none if it has no tenants and had none.
+func tenantFields(previous *configuration, document dotterqueues.Document) []zap.Field {
+	if previous == nil {
+		previous = &configuration{}
+	}
+	if !document.HasTenants() && !previous.document.HasTenants() {
+		return nil
+	}
+	fields := []zap.Field{zap.Int("Tenants", len(document.Tenants()))}
+	if changed := document.KeysChanged(previous.document); len(changed) > 0 {
+		fields = append(fields, zap.Int("KeysChanged", len(changed)), zap.Strings("KeysChangedOf", changed[:min(maxLoggedTenants, len(changed))]))
+	}
+	return fields
+}
+
 // wallTime returns the time of day.
 func wallTime() dotterclock.Millis {
 	return dotterclock.Millis(time.Now().UnixMilli())
--- a/internal/server/dotterscheduler/tenants_test.go
+++ b/internal/server/dotterscheduler/tenants_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
@@ -60,3 +63,25 @@
 	answer := c.hosts["a1"].Tenants(t.Context())
 	assert.Len(t, answer.Tenants, 2, "a tenant is listed whoever answers")
 }
+
+// TestChangedKeysAreLogged guards against a removed key whose version operators cannot find, and
+// against a key in the log.
+func TestChangedKeysAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	s := &Scheduler{logger: zap.New(core)}
+	for version, tenants := range [][]dotterqueues.Tenant{
+		nil, {{Name: "north", Keys: []string{"n1", "n2"}}}, {{Name: "north", Keys: []string{"n1"}}}, {{Name: "north", Keys: []string{"n1"}}},
+	} {
+		s.configure(dotterqueues.NewDocument(int64(version+1), nil, nil, dotterqueues.Limits{}).WithTenants(tenants), nil)
+	}
+	lines := logs.FilterMessage("configuration in force").All()
+	require.Len(t, lines, 4)
+	assert.NotContains(t, lines[0].ContextMap(), "Tenants", "a deployment without tenants")
+	assert.Equal(t, []any{"north"}, lines[1].ContextMap()["KeysChangedOf"])
+	assert.Equal(t, []any{"north"}, lines[2].ContextMap()["KeysChangedOf"])
+	assert.NotContains(t, lines[3].ContextMap(), "KeysChangedOf")
+	assert.EqualValues(t, 1, lines[3].ContextMap()["Tenants"])
+	for _, l := range lines {
+		assert.NotContains(t, fmt.Sprint(l.ContextMap()), "n1")
+	}
+}
