Show usage, cap and waiting tasks of tenants as metrics

Change: dotterelusher_tenant_running, _tenant_waiting_tasks and _tenant_cap from Board.Tenants() of the owned shards, the first 100 tenants by name and the rest summed up.

--- a/internal/server/dotterscheduler/tenants_test.go
+++ b/internal/server/dotterscheduler/tenants_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottermessage"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
@@ -85,3 +88,63 @@
 		assert.NotContains(t, fmt.Sprint(l.ContextMap()), "n1")
 	}
 }
+
+// TestTenantSeriesAreBounded guards against a number of series that grows with the tenants, and
+// against usage that is missing from the sum.
+func TestTenantSeriesAreBounded(t *testing.T) {
+	tests := map[string]struct{ tenants, series int }{
+		"none":      {0, 0},
+		"as wanted": {68, 68},
+		"the most":  {maxTenantSeries, maxTenantSeries},
+		"too many":  {1000, maxTenantSeries + 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []dotterboard.TenantSummary
+			for i := range tc.tenants {
+				all = append(all, dotterboard.TenantSummary{Tenant: fmt.Sprintf("t%04d", i), Running: dotterroom.Room{MilliCores: 2}, Waiting: 3})
+			}
+			bounded := boundTenants(all)
+			assert.Len(t, bounded, tc.series)
+			cores, waiting := int64(0), 0
+			for _, b := range bounded {
+				cores, waiting = cores+b.Running.MilliCores, waiting+b.Waiting
+			}
+			assert.EqualValues(t, 2*tc.tenants, cores)
+			assert.Equal(t, 3*tc.tenants, waiting)
+			assert.Len(t, all, tc.tenants)
+		})
+	}
+}
+
+// TestTenantMetrics guards against series of tenants in deployments that have none, and checks
+// those of one that has.
+func TestTenantMetrics(t *testing.T) {
+	c := newCluster(t, 2, "a1")
+	c.await("an owner", func() bool { return c.owner() != "" })
+	s := c.hosts["a1"]
+	names := []string{"dotterelusher_tenant_running", "dotterelusher_tenant_cap", "dotterelusher_tenant_waiting_tasks"}
+	collector := NewCollector(s, c.clock)
+	assert.NoError(t, testutil.CollectAndCompare(collector, strings.NewReader(""), names...))
+	document, _ := s.Configuration()
+	s.configure(document.WithTenants([]dotterqueues.Tenant{{Name: "north", Cap: dotterroom.Room{MilliCores: 9000, MemoryMB: 7}}}), map[string]bool{})
+	j := dotterjob.Job{ID: "00000000000000d7", Queue: testQueue, Tenant: "north", Steps: []dotterjob.Step{step(2, 60_000)}}
+	c.pool.AddJob(j)
+	require.NoError(t, s.Jobs().Submit(t.Context(), dotterjob.Caller{Restricted: true, Tenant: "north"}, j))
+	c.await("both run", func() bool { return c.pool.Starts(j.ID) == 2 })
+	assert.NoError(t, testutil.CollectAndCompare(collector, strings.NewReader(`
+# HELP dotterelusher_tenant_cap What the tenant's runs may declare in all shards together, by kind; 0: no limit.
+# TYPE dotterelusher_tenant_cap gauge
+dotterelusher_tenant_cap{kind="Accelerators",tenant="north"} 0
+dotterelusher_tenant_cap{kind="MemoryMB",tenant="north"} 7
+dotterelusher_tenant_cap{kind="MilliCores",tenant="north"} 9000
+# HELP dotterelusher_tenant_running Room declared by the tenant's runs in the shard, by kind.
+# TYPE dotterelusher_tenant_running gauge
+dotterelusher_tenant_running{kind="Accelerators",shard="all",tenant="north"} 0
+dotterelusher_tenant_running{kind="MemoryMB",shard="all",tenant="north"} 8000
+dotterelusher_tenant_running{kind="MilliCores",shard="all",tenant="north"} 4000
+# HELP dotterelusher_tenant_waiting_tasks Ready tasks of the tenant in the shard that have no worker.
+# TYPE dotterelusher_tenant_waiting_tasks gauge
+dotterelusher_tenant_waiting_tasks{shard="all",tenant="north"} 0
+`), names...))
+}
