--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -284,7 +284,7 @@
 	assert.Equal(t, before, after, "a second submission must not change the accepted job")
 	c.await("completed", func() bool { return c.stateAt("b1", id) == dotterjob.Completed })
 	c.submit("b1", 1, step(2, 50))
-	require.NoError(t, c.hosts["a1"].Jobs().Submit(t.Context(), other))
+	require.NoError(t, c.hosts["a1"].Jobs().Submit(t.Context(), dotterjob.Caller{}, other))
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, 2, c.pool.Starts(id))
 	_, err = c.store.Get(t.Context(), dotterentry.JobKey("all", id))
