Keep what a tenant has running within its cap

Cause: nothing limited what the jobs of one tenant occupy on all workers together. Change: dotterquota decides from cap, allotment and use how many tasks of a step may start; the board calls it once, before a step is placed. Use counts everything that may run, by the two functions that reserve room and by the runs that no task is bound to; those are now also given up when the lease of a worker without other runs has expired. A step held by its cap is left out of the blocked sizes, the backlog, the published room and handovers. A gang or a task larger than the cap gets its turn after 1 s; the job of a gang larger than its cap fails after three times its objective. Result: the new tests pass, and fail without the mechanism (held steps that count as blocked, unknown runs that are not counted or kept for ever, no turn for gangs).

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -47,6 +47,7 @@
 	excluded    map[dotterjob.ID]bool         // jobs that are left as they are stored
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
+	quota       quota                         // caps of tenants
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
@@ -59,7 +60,7 @@
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
-		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(),
 	}
 }
 
@@ -320,8 +321,7 @@
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
 	t.job().runs++
-	w.reserved = w.reserved.Add(t.step.Reserved())
-	w.runs[t.ref()] = t
+	b.reserve(w, t)
 	w.beginTrial(t)
 	w.load = nil
 	j := t.job()
@@ -329,11 +329,24 @@
 	b.markDirty(j)
 }
 
+// reserve counts the task's run on the worker and for its tenant.
+func (b *Board) reserve(w *worker, t *task) {
+	w.reserved = w.reserved.Add(t.step.Reserved())
+	w.runs[t.ref()] = t
+	b.quota.uses.Add(t.job().Tenant, t.step.Size)
+}
+
+// unreserve undoes reserve.
+func (b *Board) unreserve(w *worker, t *task) {
+	delete(w.runs, t.ref())
+	w.reserved = w.reserved.Sub(t.step.Reserved())
+	b.quota.uses.Remove(t.job().Tenant, t.step.Size)
+}
+
 // release unbinds a task from its worker. The task is waiting afterwards.
 func (b *Board) release(t *task) {
 	w := t.worker
-	delete(w.runs, t.ref())
-	w.reserved = w.reserved.Sub(t.step.Reserved())
+	b.unreserve(w, t)
 	w.endTrial(t)
 	w.load = nil
 	t.worker = nil
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -22,6 +22,7 @@
 	Crashes        int64 // crashes of workers that were counted against a task
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
+	Held           int64 // steps that the cap of their tenant has held
 }
 
 func newCounters() Counters {
--- a/internal/job/dotterboard/federation_test.go
+++ b/internal/job/dotterboard/federation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/standin/dotterstandpool"
 )
 
@@ -47,7 +48,7 @@
 			f.pool.Add(w)
 		}
 		f.inbox[name] = map[string]Transfer{}
-		s := &shard{t: t, clock: f.clock, pool: f.pool, stored: map[dotterjob.ID][]byte{}, storeUp: true, name: name, federation: f}
+		s := &shard{t: t, clock: f.clock, pool: f.pool, stored: map[dotterjob.ID][]byte{}, storeUp: true, mostUsed: map[string]dotterroom.Room{}, name: name, federation: f}
 		f.shards[name] = s
 		s.takeOver(0)
 	}
--- a/internal/job/dotterboard/fuzz_test.go
+++ b/internal/job/dotterboard/fuzz_test.go
@@ -45,8 +45,8 @@
 		for _, t := range w.runs {
 			sum = sum.Add(t.step.Reserved())
 		}
-		for _, room := range w.unknownRuns {
-			sum = sum.Add(room)
+		for _, r := range w.unknownRuns {
+			sum = sum.Add(r.reserved)
 		}
 		require.Equal(s.t, sum, w.reserved, "reserved on %s", w.ID)
 	}
--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -91,7 +91,7 @@
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
 				switch {
-				case step.waiting == 0 || !step.ready(wall):
+				case step.waiting == 0 || step.heldSince != 0 || !step.ready(wall):
 				case step.Fills:
 					s.Filling += int64(step.waiting) * step.Size.MilliCores
 				default:
@@ -123,6 +123,9 @@
 			continue
 		}
 		abandoned := !p.hasOpenWorker(j.queue.Service)
+		if s.heldSince != 0 && !abandoned {
+			continue // there may be room here
+		}
 		switch {
 		case j.runs == 0 && j.away == 0 && !j.visiting && !s.LongRunning:
 			p.handOverJob(s, abandoned)
@@ -199,7 +202,7 @@
 		}
 	}
 	for _, c := range p.all {
-		if !c.step.Fills && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
+		if !c.step.Fills && c.step.heldSince == 0 && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
 			reserved += int64(c.step.waiting) * c.step.Size.MilliCores
 		}
 	}
@@ -312,7 +315,7 @@
 func (p *plan) waitingFilling(service string) int64 {
 	sum := int64(0)
 	for _, c := range p.all {
-		if c.step.Fills && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
+		if c.step.Fills && c.step.heldSince == 0 && c.step.occurrence.job.queue.Service == service && !c.step.occurrence.job.leaving {
 			sum += int64(c.step.waiting) * c.step.Size.MilliCores
 		}
 	}
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -132,12 +132,7 @@
 		listed[r.Ref] = true
 		b.contain(r.Task.Job, func() { b.handleRunning(now, w, r) })
 	}
-	for ref, room := range w.unknownRuns {
-		if !listed[ref] {
-			w.reserved = w.reserved.Sub(room)
-			delete(w.unknownRuns, ref)
-		}
-	}
+	b.forgetUnknownRuns(w, listed)
 	for ref, t := range w.runs {
 		if !listed[ref] {
 			b.contain(ref.Task.Job, func() { b.handleMissing(now, sentAt, w, t) })
@@ -149,6 +144,7 @@
 // handleRestart processes a restart of the worker, which ended all its runs.
 func (b *Board) handleRestart(now dotterclock.Millis, w *worker, startedAt dotterclock.Millis) {
 	previousStartedAt := w.StartedAt
+	b.forgetUnknownRuns(w, nil)
 	w.resetAfterRestart(startedAt)
 	if previousStartedAt == 0 {
 		return
@@ -183,6 +179,7 @@
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
 	}
+	b.forgetUnknownRuns(w, nil)
 	w.resetAfterRestart(0)
 	for _, t := range w.runs {
 		if t.mayHaveReachedWorker() {
@@ -237,22 +234,6 @@
 	}
 }
 
-// stopUnknownRun orders the stop of a run that no task is bound to. The run occupies
-// capacity until it is no longer listed.
-func (b *Board) stopUnknownRun(w *worker, ref dotterrun.Ref) {
-	if _, known := w.unknownRuns[ref]; !known {
-		room := w.Capacity // its size is unknown: nothing more may start on the worker
-		if t := b.find(ref.Task); t != nil {
-			room = t.step.Reserved()
-		}
-		w.unknownRuns[ref] = room
-		w.reserved = w.reserved.Add(room)
-		b.logger.Warn("stopping a run that no task is bound to", zap.String("Job", string(ref.Task.Job)), zap.String("Task", ref.Task.String()),
-			zap.Int("Run", ref.Run), zap.String("Worker", w.ID))
-	}
-	w.send(&Order{kind: orderStop, ref: ref})
-}
-
 // handleMissing processes a bound run of which a listing shows neither the run nor its
 // end.
 func (b *Board) handleMissing(now, sentAt dotterclock.Millis, w *worker, t *task) {
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -16,7 +16,9 @@
 	workers map[string][]*worker // by service
 	unused  map[string]float64   // by service: see unusedFraction
 	all     []candidate
-	rack    string // on which a rack-sensitive gang is being placed; empty: any
+	rack    string          // on which a rack-sensitive gang is being placed; empty: any
+	left    int             // tasks of the step being placed that may still be bound
+	held    map[string]bool // tenants of which a step is held by the cap
 }
 
 // candidate is a ready step with tasks to place.
@@ -60,7 +62,7 @@
 	b.wallOffset = wall - now
 	b.reap(now)
 	b.observeKeptRoom(now)
-	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}}
+	p := &plan{board: b, now: now, wall: wall, workers: map[string][]*worker{}, unused: map[string]float64{}, held: map[string]bool{}}
 	candidates := p.candidates()
 	p.all = candidates
 	if len(candidates) == 0 {
@@ -86,13 +88,14 @@
 // the time at which to try again.
 func (p *plan) attempt(s *step) dotterclock.Millis {
 	again := p.now + replanInterval
-	if j := s.occurrence.job; j.leaving || p.board.excluded[j.ID] {
+	if j := s.occurrence.job; j.leaving || j.outcome != "" || p.board.excluded[j.ID] {
 		return again // because of another of its steps
 	}
 	if p.isBlocked(s) && !p.isStarving(s) {
+		s.heldSince = 0
 		return min(again, p.now+blockedDuration(s))
 	}
-	if p.place(s) {
+	if p.placeWithinCap(s) {
 		return again
 	}
 	key := keyOf(s)
@@ -121,7 +124,7 @@
 func (p *plan) backlog(candidates []candidate) float64 {
 	tasks := 0
 	for _, c := range candidates {
-		if c.step.Fills && p.now-c.step.readyAt > queueDelay {
+		if c.step.Fills && c.step.heldSince == 0 && p.now-c.step.readyAt > queueDelay {
 			tasks += c.step.waiting
 		}
 	}
@@ -218,7 +221,7 @@
 		}
 		for _, s := range o.steps {
 			if s.waiting == 0 {
-				s.waitingSince = 0
+				s.waitingSince, s.heldSince = 0, 0
 			} else if s.ready(p.wall) {
 				if s.readyAt == 0 {
 					s.readyAt = p.now
@@ -270,8 +273,8 @@
 	return 1
 }
 
-// place binds tasks of the step to workers as long as there is one; it reports whether
-// all tasks were bound.
+// place binds up to p.left tasks of the step to workers as long as there is one; it reports
+// whether all these were bound.
 func (p *plan) place(s *step) bool {
 	if s.Gang {
 		return p.placeGang(s)
@@ -289,6 +292,9 @@
 // reports whether all were bound.
 func (p *plan) placeRanked(s *step, r *ranking) bool {
 	for _, t := range s.tasks {
+		if p.left == 0 {
+			return true
+		}
 		if t.phase != waiting || t.needsTrial() {
 			continue
 		}
@@ -314,6 +320,9 @@
 // the ones before it have closed their workers.
 func (p *plan) placeTrials(s *step) {
 	for _, t := range s.tasks {
+		if p.left == 0 {
+			return
+		}
 		if t.phase != waiting || !t.needsTrial() {
 			continue
 		}
@@ -356,6 +365,7 @@
 		k.placed(p.now, t, w.free().MilliCores)
 	}
 	p.board.bind(t, w)
+	p.left--
 	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
 }
@@ -391,6 +401,7 @@
 		if w == nil {
 			for _, placed := range s.tasks[:i] {
 				p.board.release(placed)
+				p.left++
 			}
 			return false
 		}
--- /dev/null
+++ b/internal/job/dotterboard/quota.go
@@ -0,0 +1,115 @@
+package dotterboard
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
+)
+
+// heldLogInterval is the shortest time between two log lines on steps of one tenant that its
+// cap holds. With 68 tenants at their caps this is at most 14 lines a second.
+const heldLogInterval = 5 * dotterclock.Second
+
+// drainDelay is how long a gang, or a task larger than the cap, waits for runs of its tenant to end
+// before nothing else of the tenant starts, whatever the order of placement. Tasks of quick jobs
+// take up to a second, so it mostly gets its turn by the order before.
+const drainDelay = 1000 * dotterclock.Millisecond
+
+// quota is what the board knows of the caps of tenants.
+type quota struct {
+	uses     dotterquota.Uses              // of everything that may run, by tenant
+	loggedAt map[string]dotterclock.Millis // when a held step was last logged, by tenant
+	draining map[string]*step              // by tenant: a step for which the others wait; see drainDelay
+}
+
+func newQuota() quota {
+	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}}
+}
+
+// account returns the account of a tenant in this shard. A tenant that is not configured has no cap.
+func (b *Board) account(tenant string) dotterquota.Account {
+	t, _ := b.document.Tenant(tenant)
+	return dotterquota.Account{Cap: t.Cap, Allotment: dotterquota.Whole, Use: b.quota.uses.Of(tenant)}
+}
+
+// placeWithinCap places as many tasks of the step as the cap of its tenant allows. It reports
+// false only if workers were lacking.
+func (p *plan) placeWithinCap(s *step) bool {
+	j := s.occurrence.job
+	if j.Tenant == "" || s.Gang && s.waiting < s.Count {
+		p.left = s.waiting
+		return p.place(s)
+	}
+	a := p.board.account(j.Tenant)
+	d := dotterquota.Decide(a, dotterquota.Request{Size: s.Size, Count: s.waiting, Gang: s.Gang})
+	if first := p.board.draining(j.Tenant); first == s && d.Verdict != dotterquota.Drain {
+		delete(p.board.quota.draining, j.Tenant)
+	} else if first != s && (first != nil || p.held[j.Tenant]) {
+		d = dotterquota.Decision{Verdict: max(d.Verdict, dotterquota.Held)}
+	}
+	if d.Verdict == dotterquota.Never {
+		p.failNeverStarting(s, a)
+	}
+	if d.Start > 0 {
+		p.left = d.Start
+		if placed := p.place(s); !placed || p.left > 0 {
+			s.heldSince = 0 // the rest waits for workers, or was handed over
+			return placed
+		}
+	}
+	if d.Verdict == dotterquota.Within {
+		s.heldSince = 0
+		return true
+	}
+	p.held[j.Tenant] = p.held[j.Tenant] || d.Verdict < dotterquota.Short
+	p.board.hold(p.now, s, a, d)
+	if d.Verdict == dotterquota.Drain && p.now-s.heldSince >= drainDelay && p.board.draining(j.Tenant) == nil {
+		p.board.quota.draining[j.Tenant] = s
+	}
+	return true
+}
+
+// draining returns the step of the tenant for which its others wait, or nil.
+func (b *Board) draining(tenant string) *step {
+	s, ok := b.quota.draining[tenant]
+	if !ok {
+		return nil
+	}
+	if j := s.occurrence.job; s.heldSince == 0 || s.waiting == 0 || j.outcome != "" || j.leaving || b.jobs[j.ID] != j || b.excluded[j.ID] {
+		delete(b.quota.draining, tenant)
+		return nil
+	}
+	return s
+}
+
+// hold notes that the cap of the step's tenant keeps some of its tasks from starting.
+func (b *Board) hold(now dotterclock.Millis, s *step, a dotterquota.Account, d dotterquota.Decision) {
+	if s.heldSince == 0 {
+		s.heldSince = now
+		b.counters.Held++
+	}
+	j := s.occurrence.job
+	if at, ok := b.quota.loggedAt[j.Tenant]; ok && now-at < heldLogInterval {
+		return
+	}
+	b.quota.loggedAt[j.Tenant] = now
+	b.logger.Info("step held by the cap of its tenant", zap.String("Tenant", j.Tenant), zap.String("Job", string(j.ID)), zap.Int("Step", s.number),
+		zap.String("Verdict", d.Verdict.String()), zap.Int("Started", d.Start), zap.Int("Tasks", s.waiting), zap.String("Size", s.Size.String()), zap.Bool("Gang", s.Gang),
+		zap.String("Use", a.Use.Room.String()), zap.Int("Runs", a.Use.Runs), zap.String("Cap", a.Cap.String()), zap.Int64("Allotment", int64(a.Allotment)),
+		zap.Int64("HeldMs", int64(now-s.heldSince)), zap.Int64("Version", b.document.Version))
+}
+
+// failNeverStarting fails the job of a gang that is larger than its tenant's cap, once the job
+// is too late to be of use. Until then the cap may be raised.
+func (p *plan) failNeverStarting(s *step, a dotterquota.Account) {
+	o := s.occurrence
+	begin, objective := o.releaseTime(p.wall, p.now), o.objective(p.wall, p.now)
+	if p.now <= begin+usefulFactor*(objective-begin) {
+		return
+	}
+	p.board.finish(p.now, o.job, dotterjob.Failed, fmt.Sprintf("gang of step %d, %d tasks of %s, is larger than the cap of its tenant, %s", s.number, s.Count, s.Size, a.Cap))
+}
--- a/internal/job/dotterboard/reap.go
+++ b/internal/job/dotterboard/reap.go
@@ -18,7 +18,7 @@
 	}
 	b.reapedAt = now
 	for _, w := range b.workersByID {
-		if len(w.runs) > 0 && now >= w.leaseExpiresAt(b.settings, b.predecessorUntil) {
+		if len(w.runs)+len(w.unknownRuns) > 0 && now >= w.leaseExpiresAt(b.settings, b.predecessorUntil) {
 			for _, t := range w.runs {
 				if t.mayHaveReachedWorker() {
 					if w.closedAt != 0 {
@@ -28,10 +28,7 @@
 					}
 				}
 			}
-			for ref, room := range w.unknownRuns {
-				w.reserved = w.reserved.Sub(room)
-				delete(w.unknownRuns, ref)
-			}
+			b.forgetUnknownRuns(w, nil)
 		}
 		if w.Draining {
 			b.evictLongRunning(now, w)
@@ -40,6 +37,7 @@
 	b.workersByID = slices.DeleteFunc(b.workersByID, func(w *worker) bool {
 		gone := !w.inDirectory && len(w.runs) == 0 && now-w.absentSince > b.settings.DirectoryGrace+b.settings.LeaseDuration
 		if gone {
+			b.forgetUnknownRuns(w, nil)
 			delete(b.workers, w.ID)
 		}
 		return gone
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -198,7 +198,6 @@
 	}
 	t.step.waiting--
 	t.job().runs++
-	w.reserved = w.reserved.Add(t.step.Reserved())
-	w.runs[t.ref()] = t
+	b.reserve(w, t)
 	w.beginTrial(t)
 }
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 	"github.com/dotterelusher/dotterelusher/internal/standin/dotterstandpool"
 )
 
@@ -40,6 +41,8 @@
 	accepted []dotterjob.Job
 	stored   map[dotterjob.ID][]byte
 	storeUp  bool // whether batches are stored
+	tenants  []dotterqueues.Tenant
+	mostUsed map[string]dotterroom.Room // by tenant: what has run at the same time at most
 
 	directoryStale bool                          // whether the directory cannot be read
 	learned        []byte                        // the stored interference model; nil: none
@@ -51,7 +54,7 @@
 
 func newShard(t *testing.T, workers int) *shard {
 	s := &shard{
-		t: t, clock: dotterclock.NewManual(1_000_000), stored: map[dotterjob.ID][]byte{}, storeUp: true,
+		t: t, clock: dotterclock.NewManual(1_000_000), stored: map[dotterjob.ID][]byte{}, storeUp: true, mostUsed: map[string]dotterroom.Room{},
 	}
 	s.pool = dotterstandpool.New(s.clock, testLease)
 	for i := range workers {
@@ -82,7 +85,7 @@
 	s.epoch++
 	now := s.clock.Now()
 	s.board = New(testSettings, s.epoch, now, now+window, zap.NewNop())
-	s.board.Configure(testDocument(), map[string]bool{})
+	s.board.Configure(testDocument().WithTenants(s.tenants), map[string]bool{})
 	for _, j := range s.accepted {
 		s.board.Accept(now, now-j.AcceptedAt, j)
 	}
@@ -173,8 +176,20 @@
 		})
 		require.Equal(s.t, bound, j.runs, "count of bound tasks of job %s", id)
 	}
+	uses := map[string]dotterquota.Use{}
+	count := func(tenant string, size dotterroom.Room) {
+		if tenant != "" {
+			uses[tenant] = dotterquota.Use{Room: uses[tenant].Room.Add(size), Runs: uses[tenant].Runs + 1}
+		}
+	}
 	for id, w := range s.board.workers {
 		trials := 0
+		for _, r := range w.unknownRuns {
+			count(r.tenant, r.size)
+		}
+		for _, t := range w.runs {
+			count(t.job().Tenant, t.step.Size)
+		}
 		for _, t := range w.runs {
 			if t.onTrial {
 				trials++
@@ -182,6 +197,10 @@
 		}
 		require.Equal(s.t, trials, w.trials, "count of runs on trial on worker %s", id)
 	}
+	require.Len(s.t, s.board.quota.uses.Names(), len(uses), "tenants of which something may run")
+	for tenant, use := range uses {
+		require.Equal(s.t, use, s.board.quota.uses.Of(tenant), "what may run of tenant %s", tenant)
+	}
 }
 
 // tick performs each of the owner's periodic actions once.
--- a/internal/job/dotterboard/tenant_summary.go
+++ b/internal/job/dotterboard/tenant_summary.go
@@ -13,34 +13,41 @@
 	Running dotterroom.Room // declared by its runs, those that may have started or may still be running included
 	Cap     dotterroom.Room // of all shards together; 0 in a field means no limit
 	Waiting int             // tasks of ready steps that are not bound
+	Held    int             // those among them that wait for the cap
 }
 
-// Tenants returns a summary of each tenant that is configured or has jobs here, by name.
+// Tenants returns a summary of each tenant that is configured or has open jobs or runs here, by name.
 func (b *Board) Tenants() []TenantSummary {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	byName := map[string]*TenantSummary{}
-	for name, t := range b.document.Tenants() {
-		byName[name] = &TenantSummary{Tenant: name, Cap: t.Cap}
+	of := func(name string) *TenantSummary {
+		s, ok := byName[name]
+		if !ok {
+			s = &TenantSummary{Tenant: name, Cap: b.account(name).Cap, Running: b.quota.uses.Of(name).Room}
+			byName[name] = s
+		}
+		return s
+	}
+	for name := range b.document.Tenants() {
+		of(name)
 	}
-	for _, j := range b.jobs {
+	for _, name := range b.quota.uses.Names() {
+		of(name)
+	}
+	for _, j := range b.open {
 		if j.Tenant == "" {
 			continue
 		}
-		s, ok := byName[j.Tenant]
-		if !ok {
-			s = &TenantSummary{Tenant: j.Tenant}
-			byName[j.Tenant] = s
-		}
+		s := of(j.Tenant)
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				if j.outcome == "" && step.ready(0) {
-					s.Waiting += step.waiting
+				if step.waitingSince == 0 {
+					continue // no plan has found it ready
 				}
-				for _, t := range step.tasks {
-					if t.isBound() {
-						s.Running = s.Running.Add(step.Size)
-					}
+				s.Waiting += step.waiting
+				if step.heldSince != 0 {
+					s.Held += step.waiting
 				}
 			}
 		}
--- a/internal/job/dotterboard/worker.go
+++ b/internal/job/dotterboard/worker.go
@@ -13,9 +13,9 @@
 	inDirectory      bool               // whether the directory shows it
 	absentSince      dotterclock.Millis // since when the directory has not shown it
 	runs             map[dotterrun.Ref]*task
-	unknownRuns      map[dotterrun.Ref]dotterroom.Room // reserved by runs that no task is bound to and that are being stopped
-	trials           int                               // number of runs on trial, during which nothing else starts
-	reserved         dotterroom.Room                   // by runs and unknownRuns
+	unknownRuns      map[dotterrun.Ref]unknownRun // that no task is bound to and that are being stopped
+	trials           int                          // number of runs on trial, during which nothing else starts
+	reserved         dotterroom.Room              // by runs and unknownRuns
 	orders           []*Order
 	wake             chan struct{}      // holds one token while orders wait
 	contacted        bool               // whether it has answered this owner
@@ -52,7 +52,7 @@
 func newWorker(w dotterworker.Worker) *worker {
 	return &worker{
 		Worker: w, runs: map[dotterrun.Ref]*task{},
-		unknownRuns: map[dotterrun.Ref]dotterroom.Room{}, wake: make(chan struct{}, 1),
+		unknownRuns: map[dotterrun.Ref]unknownRun{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -174,16 +174,13 @@
 	}
 }
 
-// resetAfterRestart sets StartedAt and discards the state of the worker's previous incarnation.
+// resetAfterRestart sets StartedAt and discards the state of the worker's previous incarnation,
+// except its runs.
 func (w *worker) resetAfterRestart(startedAt dotterclock.Millis) {
 	w.StartedAt = startedAt
 	w.lastEnd, w.oldestListed, w.ackUntil, w.unacknowledged = 0, 0, 0, nil
 	w.signalStored()
 	w.leaseUntil = 0
-	for ref, room := range w.unknownRuns {
-		w.reserved = w.reserved.Sub(room)
-		delete(w.unknownRuns, ref)
-	}
 	w.faults, w.speed = faultHistory{}, slowdown{}
 }
 
