Share full workers among tenants by rate and weight

Cause: a tenant that sends more than its rate took the room of the others' jobs, and nothing divided full workers by weight. Change: one call after the sort of a plan's candidates puts jobs beyond the rate of their tenant last in their rank (dotterquota.Meter, a token bucket over the stored acceptance times) and, while workers are full, lets like steps of several tenants take turns by dominant share (dotterfairshare.Shares.Interleave).

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -130,6 +130,7 @@
 	j := newJob(accepted, queue, now-max(0, age))
 	b.jobs[j.ID] = j
 	b.open = append(b.open, j)
+	b.noteArrival(j)
 	return j
 }
 
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
 // smallestClassMilliCores is the upper bound of the smallest size class, in thousandths of a
@@ -38,6 +39,8 @@
 	ends            []*end             // received since the last batch
 	outgoing        []*Transfer        // handed over since the last batch
 	incoming        []string           // keys of transfers that were applied since the last batch
+
+	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -98,6 +98,7 @@
 	if p.placeWithinCap(s) {
 		return again
 	}
+	p.board.noteFull(p.now)
 	key := keyOf(s)
 	p.board.blocked[key] = append(p.board.blocked[key], blockedSize{size: s.Size, until: p.now + blockedDuration(s)})
 	return min(again, p.now+blockedDuration(s))
@@ -206,6 +207,7 @@
 			cmp.Compare(a.objective, b.objective),
 		)
 	})
+	p.orderByTenant(cs)
 	return cs
 }
 
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -24,10 +24,12 @@
 	uses     dotterquota.Uses              // of everything that may run, by tenant
 	loggedAt map[string]dotterclock.Millis // when a held step was last logged, by tenant
 	draining map[string]*step              // by tenant: a step for which the others wait; see drainDelay
+	meters   map[string]*dotterquota.Meter // of the rates at which the tenants' jobs were accepted
+	fullAt   dotterclock.Millis            // when a step last found no worker; 0: never
 }
 
 func newQuota() quota {
-	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}}
+	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}}
 }
 
 // account returns the account of a tenant in this shard. A tenant that is not configured has no cap.
--- a/internal/job/dotterboard/tenant_summary.go
+++ b/internal/job/dotterboard/tenant_summary.go
@@ -33,7 +33,9 @@
 		of(name)
 	}
 	for _, name := range b.quota.uses.Names() {
-		of(name)
+		if name != "" {
+			of(name)
+		}
 	}
 	for _, j := range b.open {
 		if j.Tenant == "" {
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -59,6 +59,7 @@
 func (b *Board) leave(j *job) {
 	j.leaving = true
 	b.open = deleteJob(b.open, j)
+	b.forgetArrival(j)
 }
 
 func (b *Board) send(j *job, t *Transfer, tasks int) {
--- a/internal/placement/dotterquota/uses.go
+++ b/internal/placement/dotterquota/uses.go
@@ -8,7 +8,7 @@
 	Runs int
 }
 
-// Uses is the use of each tenant by name. Runs without a tenant are not counted.
+// Uses is the use of each tenant by name; that of the empty name is of no tenant.
 type Uses struct {
 	byName map[string]Use
 }
@@ -25,18 +25,12 @@
 
 // Add counts one more run of the tenant.
 func (u Uses) Add(tenant string, size dotterroom.Room) {
-	if tenant == "" {
-		return
-	}
 	use := u.byName[tenant]
 	u.byName[tenant] = Use{Room: use.Room.Add(size), Runs: use.Runs + 1}
 }
 
 // Remove counts one run of the tenant less.
 func (u Uses) Remove(tenant string, size dotterroom.Room) {
-	if tenant == "" {
-		return
-	}
 	use := u.byName[tenant]
 	if use.Runs <= 1 {
 		delete(u.byName, tenant)
