Divide the caps of tenants among shards

Cause: with several shards each owner would apply the whole cap. Change: each shard has a part of each cap, stored with the shard and multiplied by the cap in force. Owners publish part, need and unused part with their vacancy, and give parts in their commits by grants in the receiver's inbox, which its next commit applies and deletes. A shard that needs its part too gives to one that has much less as its runs end.

--- a/internal/job/dotterboard/batch.go
+++ b/internal/job/dotterboard/batch.go
@@ -9,13 +9,15 @@
 
 // Batch is a set of changes to the shard's stored state, to be stored together.
 type Batch struct {
-	Records   map[dotterjob.ID][]byte       // progress records of jobs, JSON
-	Jobs      []dotterjob.Job               // jobs to store under this shard
-	Transfers []*Transfer                   // tasks handed over to other shards
-	Absorbed  []string                      // keys of transfers to this shard that are deleted
-	Dropped   []dotterjob.ID                // jobs whose keys under this shard are deleted
-	Expired   []dotterjob.ID                // jobs of which all keys are deleted
-	Cancelled map[dotterjob.ID]Cancellation // jobs to end in the other shards that have tasks of them
+	Records    map[dotterjob.ID][]byte       // progress records of jobs, JSON
+	Jobs       []dotterjob.Job               // jobs to store under this shard
+	Transfers  []*Transfer                   // tasks handed over to other shards
+	Absorbed   []string                      // keys of transfers and grants to this shard that are deleted
+	Dropped    []dotterjob.ID                // jobs whose keys under this shard are deleted
+	Expired    []dotterjob.ID                // jobs of which all keys are deleted
+	Cancelled  map[dotterjob.ID]Cancellation // jobs to end in the other shards that have tasks of them
+	Allotments []byte                        // the shard's parts of tenants' caps, JSON; nil: unchanged
+	Grants     []*Grant                      // parts given to other shards
 
 	entries int // number of keys that are written or deleted
 	starts  []*bindingStart
@@ -68,6 +70,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	batch := &Batch{Records: map[dotterjob.ID][]byte{}, Cancelled: map[dotterjob.ID]Cancellation{}}
+	if err := b.addAllotments(batch, limit); err != nil {
+		return nil, err
+	}
 	var rest []*job
 	for _, urgent := range []bool{true, false} {
 		rest = nil
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -22,6 +22,7 @@
 	Crashes        int64 // crashes of workers that were counted against a task
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
+	Granted        int64 // parts of tenants' caps given to other shards
 	Held           int64 // steps that the cap of their tenant has held
 }
 
@@ -89,5 +90,5 @@
 func (b *Board) Dirty() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.dirty) > 0 || len(b.expired) > 0 || len(b.dropped) > 0
+	return b.quota.allotments.dirty || len(b.dirty) > 0 || len(b.expired) > 0 || len(b.dropped) > 0
 }
--- a/internal/job/dotterboard/federation_test.go
+++ b/internal/job/dotterboard/federation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/standin/dotterstandpool"
 )
@@ -26,10 +27,12 @@
 	inbox     map[string]map[string]Transfer // transfers by receiving shard and key
 	cancelled map[dotterjob.ID]Cancellation
 	commits   int
-	apart     bool               // the shards know nothing of each other's room
-	peersAt   dotterclock.Millis // when the shards last learned of each other's room
-	out       map[string]bool    // failure domains that are out of service
-	down      map[string]bool    // shards without an owner
+	apart     bool                        // the shards know nothing of each other's room
+	peersAt   dotterclock.Millis          // when the shards last learned of each other's room
+	grants    map[string]map[string]Grant // by receiving shard and key
+	tenants   []dotterqueues.Tenant
+	out       map[string]bool // failure domains that are out of service
+	down      map[string]bool // shards without an owner
 }
 
 // newFederation returns shards with the given numbers of workers; shards are named after
@@ -38,7 +41,7 @@
 	f := &federation{
 		t: t, clock: dotterclock.NewManual(1_000_000), names: slices.Sorted(maps.Keys(workers)), shards: map[string]*shard{},
 		homes: map[dotterjob.ID]string{}, inbox: map[string]map[string]Transfer{}, cancelled: map[dotterjob.ID]Cancellation{},
-		out: map[string]bool{}, down: map[string]bool{},
+		grants: map[string]map[string]Grant{}, out: map[string]bool{}, down: map[string]bool{},
 	}
 	f.pool = dotterstandpool.New(f.clock, testLease)
 	for _, name := range f.names {
@@ -47,7 +50,7 @@
 			w.ID, w.FailureDomain, w.Address = fmt.Sprintf("%s%02d", name, i), name, name+w.Address
 			f.pool.Add(w)
 		}
-		f.inbox[name] = map[string]Transfer{}
+		f.inbox[name], f.grants[name] = map[string]Transfer{}, map[string]Grant{}
 		s := &shard{t: t, clock: f.clock, pool: f.pool, stored: map[dotterjob.ID][]byte{}, storeUp: true, mostUsed: map[string]dotterroom.Room{}, name: name, federation: f}
 		f.shards[name] = s
 		s.takeOver(0)
@@ -81,7 +84,7 @@
 	f.peersAt = f.clock.Now()
 	vacancies := map[string]Peer{}
 	for name, s := range f.shards {
-		vacancies[name] = Peer{Shard: name, Vacancy: s.board.Vacancy(f.clock.Now(), f.clock.Now())}
+		vacancies[name] = Peer{Shard: name, Vacancy: s.board.Vacancy(f.clock.Now(), f.clock.Now()), SeenAt: f.clock.Now()}
 	}
 	for name, s := range f.shards {
 		var peers []Peer
@@ -120,7 +123,7 @@
 func (f *federation) setOut(domain string, out bool) {
 	f.out[domain] = out
 	for _, s := range f.shards {
-		s.board.Configure(testDocument(), f.out)
+		s.board.Configure(testDocument().WithTenants(f.tenants), f.out)
 	}
 }
 
@@ -153,6 +156,9 @@
 		t := f.inbox[s.name][key]
 		s.board.Absorb(now, now-t.Job.AcceptedAt, key, t)
 	}
+	for _, key := range slices.Sorted(maps.Keys(f.grants[s.name])) {
+		s.board.AbsorbGrant(key, f.grants[s.name][key])
+	}
 	for id, c := range f.cancelled {
 		s.board.Cancel(now, id, c)
 	}
@@ -168,8 +174,15 @@
 			f.homes[t.Job.ID] = t.To
 		}
 	}
+	if batch.Allotments != nil {
+		s.allotments = batch.Allotments
+	}
+	for _, g := range batch.Grants {
+		f.grants[g.To][fmt.Sprintf("Grant/%s.%d", s.name, f.commits)] = *g
+	}
 	for _, key := range batch.Absorbed {
 		delete(f.inbox[s.name], key)
+		delete(f.grants[s.name], key)
 	}
 	for _, id := range batch.Dropped {
 		delete(s.stored, id)
--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -42,6 +42,7 @@
 type Peer struct {
 	Shard   string
 	Vacancy dottervacancy.Vacancy
+	SeenAt  dotterclock.Millis // when this host first saw it, on its own clock
 }
 
 // peer is a Peer whose vacancy is reduced by what was handed over since.
@@ -55,6 +56,7 @@
 func (b *Board) SetPeers(peers []Peer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.setStandings(peers)
 	b.peers = nil
 	for _, p := range peers {
 		b.peers = append(b.peers, &peer{shard: p.Shard, services: maps.Clone(p.Vacancy.Services)})
@@ -107,7 +109,7 @@
 			services[name] = s
 		}
 	}
-	return dottervacancy.Vacancy{Published: true, Services: services, Pending: b.pending()}
+	return dottervacancy.Vacancy{Published: true, Services: services, Pending: b.pending(), Tenants: b.publishedTenants()}
 }
 
 // handOver hands tasks that found no worker over to shards that have room: whole jobs of
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
@@ -95,6 +96,12 @@
 	return bits.Len64(uint64(s.Reserved().MilliCores / smallestClassMilliCores))
 }
 
+// waitingRoom returns the declared size of all waiting tasks together.
+func (s *step) waitingRoom() dotterroom.Room {
+	n := int64(s.waiting)
+	return dotterroom.Room{MilliCores: n * s.Size.MilliCores, MemoryMB: n * s.Size.MemoryMB, Accelerators: n * s.Size.Accelerators}
+}
+
 // ready reports whether the step is due and the steps that it depends on are done.
 func (s *step) ready(wall dotterclock.Millis) bool {
 	if s.occurrence.due > wall {
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -26,16 +26,19 @@
 	draining map[string]*step              // by tenant: a step for which the others wait; see drainDelay
 	meters   map[string]*dotterquota.Meter // of the rates at which the tenants' jobs were accepted
 	fullAt   dotterclock.Millis            // when a step last found no worker; 0: never
+
+	allotments allotments
 }
 
 func newQuota() quota {
-	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}}
+	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}, allotments: newAllotments()}
 }
 
 // account returns the account of a tenant in this shard. A tenant that is not configured has no cap.
 func (b *Board) account(tenant string) dotterquota.Account {
 	t, _ := b.document.Tenant(tenant)
-	return dotterquota.Account{Cap: t.Cap, Allotment: dotterquota.Whole, Use: b.quota.uses.Of(tenant)}
+	a := &b.quota.allotments
+	return dotterquota.Account{Cap: t.Cap, Allotment: a.part(tenant) - a.withheld[tenant], Use: b.quota.uses.Of(tenant)}
 }
 
 // placeWithinCap places as many tasks of the step as the cap of its tenant allows. It reports
@@ -101,7 +104,7 @@
 	b.quota.loggedAt[j.Tenant] = now
 	b.logger.Info("step held by the cap of its tenant", zap.String("Tenant", j.Tenant), zap.String("Job", string(j.ID)), zap.Int("Step", s.number),
 		zap.String("Verdict", d.Verdict.String()), zap.Int("Started", d.Start), zap.Int("Tasks", s.waiting), zap.String("Size", s.Size.String()), zap.Bool("Gang", s.Gang),
-		zap.String("Use", a.Use.Room.String()), zap.Int("Runs", a.Use.Runs), zap.String("Cap", a.Cap.String()), zap.Int64("Allotment", int64(a.Allotment)),
+		zap.String("Use", a.Use.Room.String()), zap.Int("Runs", a.Use.Runs), zap.String("Cap", a.Cap.String()), zap.Float64("Allotment", a.Allotment.Fraction()),
 		zap.Int64("HeldMs", int64(now-s.heldSince)), zap.Int64("Version", b.document.Version))
 }
 
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -50,6 +50,7 @@
 
 	name       string
 	federation *federation // with other shards; nil: none
+	allotments []byte      // the stored parts of the tenants' caps; nil: none
 }
 
 func newShard(t *testing.T, workers int) *shard {
@@ -86,6 +87,12 @@
 	now := s.clock.Now()
 	s.board = New(testSettings, s.epoch, now, now+window, zap.NewNop())
 	s.board.Configure(testDocument().WithTenants(s.tenants), map[string]bool{})
+	if s.federation != nil {
+		s.board.SetShard(s.name, slices.Index(s.federation.names, s.name), len(s.federation.names))
+	}
+	if s.allotments != nil {
+		require.NoError(s.t, s.board.RestoreAllotments(s.allotments))
+	}
 	for _, j := range s.accepted {
 		s.board.Accept(now, now-j.AcceptedAt, j)
 	}
--- a/internal/job/dotterboard/share.go
+++ b/internal/job/dotterboard/share.go
@@ -69,11 +69,7 @@
 func interleave(shares *dotterfairshare.Shares, cs []candidate) {
 	demands := make([]dotterfairshare.Demand, len(cs))
 	for i, c := range cs {
-		size, n := c.step.Size, int64(c.step.waiting)
-		demands[i] = dotterfairshare.Demand{
-			Team: c.step.occurrence.job.Tenant,
-			Room: dotterroom.Room{MilliCores: n * size.MilliCores, MemoryMB: n * size.MemoryMB, Accelerators: n * size.Accelerators},
-		}
+		demands[i] = dotterfairshare.Demand{Team: c.step.occurrence.job.Tenant, Room: c.step.waitingRoom()}
 	}
 	ordered := make([]candidate, 0, len(cs))
 	for _, i := range shares.Interleave(demands, maxInterleaved) {
@@ -108,7 +104,7 @@
 // tenant is not configured.
 func (b *Board) rateOf(tenant string) float64 {
 	t, _ := b.document.Tenant(tenant)
-	return t.Weight * float64(b.account(tenant).Allotment) / float64(dotterquota.Whole)
+	return t.Weight * float64(b.quota.allotments.part(tenant)) / float64(dotterquota.Whole)
 }
 
 // noteArrival counts an accepted job for the rate of its tenant.
--- a/internal/job/dotterentry/keys.go
+++ b/internal/job/dotterentry/keys.go
@@ -18,6 +18,25 @@
 	InterferencePrefix = "Dotter/Learned/"
 )
 
+// grantName stands for the job in the keys of grants. It is no job's ID.
+const grantName = "Grant"
+
+// AllotmentKey returns the key of the shard's parts of the tenants' caps.
+func AllotmentKey(shard string) string {
+	return "Dotter/Allotment/" + shard
+}
+
+// GrantKey returns the key of a grant to a shard, by a commit of the giving shard's owner. It is
+// in the receiver's inbox, which its owner watches.
+func GrantKey(to, from string, epoch, commit int64) string {
+	return fmt.Sprintf("%s%s/%s.%d.%d", InboxPrefix(to), grantName, from, epoch, commit)
+}
+
+// IsGrantKey reports whether a key with the shard's InboxPrefix is that of a grant.
+func IsGrantKey(shard, key string) bool {
+	return strings.HasPrefix(key, InboxPrefix(shard)+grantName+"/")
+}
+
 // InboxPrefix returns the prefix of the shard's accepted jobs and of transfers to it.
 func InboxPrefix(shard string) string {
 	return "Dotter/Inbox/" + shard + "/"
--- a/internal/model/dottervacancy/vacancy.go
+++ b/internal/model/dottervacancy/vacancy.go
@@ -15,6 +15,14 @@
 	Published bool               `json:",omitempty"` // false in the head of an owner that has not loaded its shard yet
 	Services  map[string]Service `json:",omitempty"`
 	Pending   map[string]int     `json:",omitempty"` // by queue: jobs of which no task has started
+	Tenants   map[string]Tenant  `json:",omitempty"` // tenants with caps, if there are several shards
+}
+
+// Tenant describes what the shard has of a tenant's cap, as dotterquota.Part.
+type Tenant struct {
+	Part   int64 `json:",omitempty"`
+	Need   int64 `json:",omitempty"` // that tasks which the cap holds there could use in addition
+	Unused int64 `json:",omitempty"` // that nothing there uses while nothing is held
 }
 
 // Service describes the workers of a service that accept starts. Processor time is in
--- a/internal/placement/dotterquota/part.go
+++ b/internal/placement/dotterquota/part.go
@@ -1,16 +1,52 @@
 package dotterquota
 
-import "github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+import (
+	"math/bits"
 
-// Part is a part of a tenant's cap, in millionths.
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+)
+
+// Part is a part of a tenant's cap, as a multiple of the whole divided by Whole.
 type Part int64
 
-// Whole is the whole cap.
-const Whole Part = 1_000_000
+// Whole is the whole cap. Each number of shards up to ten divides it, so that equal parts lose
+// nothing to rounding: a third of the cap of twelve tasks is four.
+const Whole Part = 5_040_000
+
+// Fraction returns the part as a fraction of the cap, for logs.
+func (p Part) Fraction() float64 {
+	return float64(p) / float64(Whole)
+}
+
+// Equal returns the part of the shard with the given index, from 0, if all have equal parts. The
+// first one has what is left by rounding, so that the parts add up to the whole.
+func Equal(index, shards int) Part {
+	n := Part(max(1, shards))
+	if index == 0 {
+		return Whole - (n-1)*(Whole/n)
+	}
+	return Whole / n
+}
 
-// Equal returns the part of each of the given number of shards, rounded down.
-func Equal(shards int) Part {
-	return Whole / Part(max(1, shards))
+// Needed returns the smallest part of the cap that room fits into, at most the whole. Only fields
+// in which the cap is a limit count.
+func Needed(room, cap dotterroom.Room) Part {
+	part := Part(0)
+	for _, f := range fields(cap, room, dotterroom.Room{}) {
+		switch {
+		case f.cap == 0 || f.a <= 0:
+		case f.a >= f.cap:
+			return Whole
+		default:
+			hi, lo := bits.Mul64(uint64(f.a), uint64(Whole))
+			quotient, rest := bits.Div64(hi, lo, uint64(f.cap))
+			if rest > 0 {
+				quotient++
+			}
+			part = max(part, Part(quotient))
+		}
+	}
+	return part
 }
 
 // Of returns the part of each field of room, rounded down.
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterreplica"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterpartition"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottervacancy"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
@@ -74,6 +76,8 @@
 	c := o.configuration.Load()
 	b := dotterboard.New(o.settings.Board, committer.Epoch(), startedAt, committer.PredecessorExpiry(), o.logger)
 	b.SetTimeOfDay(startedAt, wallTime())
+	index, shards := o.place()
+	b.SetShard(o.shard, index, shards)
 	b.Configure(c.document, c.outDomains)
 	planChanges, commitChanges := b.Subscribe(), b.Subscribe()
 	revision, err := o.load(ctx, b)
@@ -148,6 +152,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := o.loadAllotments(call, b); err != nil {
+		return 0, err
+	}
 	sink := inboxSink{o, b}
 	sink.accept(inbox)
 	for _, e := range progress {
@@ -162,6 +169,31 @@
 	return revision, nil
 }
 
+// place returns the index of the shard among all of the partition, and their number.
+func (o shardOwner) place() (index, shards int) {
+	p := o.partition.Load()
+	return slices.IndexFunc(p.Shards, func(s dotterpartition.Shard) bool { return s.Name == o.shard }), len(p.Shards)
+}
+
+// loadAllotments restores the shard's parts of the tenants' caps.
+func (o shardOwner) loadAllotments(ctx context.Context, b *dotterboard.Board) error {
+	if _, shards := o.place(); shards == 1 {
+		return nil // it has the whole, and nothing is stored
+	}
+	stored, err := o.platform.Store.Get(ctx, dotterentry.AllotmentKey(o.shard))
+	if errors.Is(err, dotterelusher.ErrStoreNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if err := b.RestoreAllotments(stored.Value); err != nil {
+		o.logger.Error("parts of the tenants' caps not decoded, no task of a tenant with a cap starts in this shard",
+			zap.String("Key", dotterentry.AllotmentKey(o.shard)), zap.Int64("Version", int64(stored.Version)), zap.Error(err))
+	}
+	return nil
+}
+
 // loadLearned restores the predecessor's interference model. Failures are only logged,
 // since the model can be learned again.
 func (o shardOwner) loadLearned(ctx context.Context, b *dotterboard.Board) {
@@ -369,6 +401,14 @@
 			return nil, nil, err
 		}
 	}
+	if batch.Allotments != nil {
+		puts = append(puts, dotterkey.Entry{Key: dotterentry.AllotmentKey(o.shard), Value: batch.Allotments})
+	}
+	for _, g := range batch.Grants {
+		if err := put(dotterentry.GrantKey(g.To, o.shard, committer.Epoch(), committer.Number()+1), g); err != nil {
+			return nil, nil, err
+		}
+	}
 	deletes = append(deletes, batch.Absorbed...)
 	for _, id := range append(batch.Dropped, batch.Expired...) {
 		deletes = append(deletes, dotterentry.JobKey(o.shard, id), dotterentry.ProgressKey(o.shard, id))
@@ -432,6 +472,10 @@
 
 func (s inboxSink) absorb(entries []dotterkey.Entry) {
 	for _, e := range entries {
+		if dotterentry.IsGrantKey(s.shard, e.Key) {
+			s.absorbGrant(e)
+			continue
+		}
 		id, transfer := dotterentry.ParseInboxKey(s.shard, e.Key)
 		if !transfer {
 			continue
@@ -449,6 +493,17 @@
 	}
 }
 
+// absorbGrant applies a grant. One that cannot be decoded stays: its part is lost until somebody
+// mends it, which is safe.
+func (s inboxSink) absorbGrant(e dotterkey.Entry) {
+	var g dotterboard.Grant
+	if err := json.Unmarshal(e.Value, &g); err != nil {
+		s.logger.Error("grant not decoded", zap.String("Key", e.Key), zap.Int64("Version", int64(e.Version)), zap.Error(err))
+		return
+	}
+	s.board.AbsorbGrant(e.Key, g)
+}
+
 // cancelSink applies cancellations to the board.
 type cancelSink struct {
 	shardOwner
--- a/internal/server/dotterscheduler/partition.go
+++ b/internal/server/dotterscheduler/partition.go
@@ -139,7 +139,7 @@
 	var peers []dotterboard.Peer
 	for _, state := range s.shardStates() {
 		if state.Shard != shard && state.Live && !state.Out {
-			peers = append(peers, dotterboard.Peer{Shard: state.Shard, Vacancy: state.Vacancy})
+			peers = append(peers, dotterboard.Peer{Shard: state.Shard, Vacancy: state.Vacancy, SeenAt: s.elector.SeenAt(state.Shard)})
 		}
 	}
 	return peers
