--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -165,10 +165,12 @@
 // restoreClosed adds a job of which only the outcome is stored.
 func (b *Board) restoreClosed(now dotterclock.Millis, id dotterjob.ID, r Record) {
 	accepted := dotterjob.Job{ID: id, Queue: r.Closed.Queue, Tenant: r.Closed.Tenant, AcceptedAt: r.Closed.AcceptedAt}
-	b.jobs[id] = &job{
+	j := &job{
 		Job: accepted, localAcceptedAt: accepted.AcceptedAt - b.wallOffset, begun: r.Begun, moves: r.Moves,
 		outcome: r.Outcome, storedOutcome: r.Outcome, outcomeAt: now, stored: true, closed: true,
 	}
+	b.jobs[id] = j
+	b.noteArrival(j)
 }
 
 func (b *Board) restoreStep(now dotterclock.Millis, s *step, r StepRecord) {
@@ -222,7 +224,6 @@
 	}
 	t.step.waiting--
 	t.job().runs++
-	w.reserved = w.reserved.Add(t.step.Reserved())
-	w.runs[t.ref()] = t
+	b.reserve(w, t)
 	w.beginTrial(t)
 }
