--- a/internal/job/dotterboard/tenant_summary.go
+++ b/internal/job/dotterboard/tenant_summary.go
@@ -44,8 +44,8 @@
 		s := of(j.Tenant)
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				if step.waitingSince == 0 {
-					continue // no plan has found it ready
+				if step.waitingSince == 0 && !step.ready(0) {
+					continue // not ready, or not due when a plan last looked
 				}
 				s.Waiting += step.waiting
 				if step.heldSince != 0 {
