--- a/internal/server/dotterscheduler/scheduler_test.go
+++ b/internal/server/dotterscheduler/scheduler_test.go
@@ -34,12 +34,13 @@
 // operatorSink ignores the operators' keys and reports a fixed configuration.
 type operatorSink struct {
 	onChange func(dotterqueues.Document, map[string]bool)
+	tenants  []dotterqueues.Tenant
 }
 
 func (s operatorSink) Reset([]dotterkey.Entry) {
 	s.onChange(dotterqueues.NewDocument(1, []dotterqueues.Queue{
 		{Host: "callers.example", Prefix: "/jobs/", Service: "pool", MaxAttempts: 3, Stretch: 2, Target: 1000},
-	}, nil, dotterqueues.Limits{}), map[string]bool{})
+	}, nil, dotterqueues.Limits{}).WithTenants(s.tenants), map[string]bool{})
 }
 
 func (s operatorSink) Change(dotterkey.Changes) {}
@@ -76,6 +77,7 @@
 	logger          *zap.Logger
 	domains         []string // failure domains of the workers and, by their first letters, of the hosts
 	maxShardWorkers int
+	tenants         []dotterqueues.Tenant
 }
 
 func newCluster(t *testing.T, workers int, hosts ...string) *cluster {
@@ -91,7 +93,12 @@
 // newShardedCluster returns a cluster with a shard for each of the failure domains a, b
 // and c.
 func newShardedCluster(t *testing.T, workers int, hosts ...string) *cluster {
-	c := &cluster{logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)), t: t, domains: []string{"a", "b", "c"}, maxShardWorkers: workers - 1}
+	return newTenantCluster(t, workers, nil, hosts...)
+}
+
+// newTenantCluster does the same with tenants in the configuration.
+func newTenantCluster(t *testing.T, workers int, tenants []dotterqueues.Tenant, hosts ...string) *cluster {
+	c := &cluster{logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)), t: t, domains: []string{"a", "b", "c"}, maxShardWorkers: workers - 1, tenants: tenants}
 	c.startAll(workers, hosts...)
 	c.await("an owner in each domain", func() bool {
 		owned := 0
@@ -138,7 +145,7 @@
 	s, err := New(settings, Platform{
 		Store: c.store, Runs: c.pool, OperatorPrefix: "Operators/", DirectoryPrefix: "Workers/",
 		NewOperatorSink: func(onChange func(dotterqueues.Document, map[string]bool)) dotterreplica.Sink {
-			return operatorSink{onChange}
+			return operatorSink{onChange, c.tenants}
 		},
 		NewDirectorySink: func(onChange func(map[string]dotterworker.Worker)) dotterreplica.Sink {
 			return &directorySink{onChange: onChange}
@@ -171,8 +178,12 @@
 }
 
 func (c *cluster) submit(host string, number int, steps ...dotterjob.Step) dotterjob.ID {
+	return c.submitAs("", host, number, steps...)
+}
+
+func (c *cluster) submitAs(tenant, host string, number int, steps ...dotterjob.Step) dotterjob.ID {
 	j := dotterjob.Job{
-		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: testQueue, Spec: "spec", Steps: steps,
+		ID: dotterjob.ID(fmt.Sprintf("%016x", number)), Queue: testQueue, Tenant: tenant, Spec: "spec", Steps: steps,
 		AcceptedAt: dotterclock.Millis(time.Now().UnixMilli()),
 	}
 	c.pool.AddJob(j)
