Tell in the log line of a decided job how its time was spent

Cause: 95 of 100 quick jobs start within 0.7 s, yet the 99th percentile of their time is 9.3 s, and the logs show nothing between acceptance and decision.

Change: package dotteraccount sums the time that a job's tasks waited, started, ran, were stopped (by cause) or lost, and keeps the slowest task with its runs and worker. The board calls it where a run is bound, at work and released. The account of a successor, and of a job that came from another shard, begins with what it finds and says so (Inherited).

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
@@ -127,6 +128,7 @@
 			zap.String("Queue", accepted.Queue), zap.Int64("Version", b.document.Version))
 	}
 	j := newJob(accepted, queue, now-max(0, age))
+	j.account = dotteraccount.New(now)
 	b.jobs[j.ID] = j
 	b.open = append(b.open, j)
 	return j
@@ -285,13 +287,13 @@
 	if outcome == dotterjob.Failed {
 		level = zap.WarnLevel // is not dropped with the lines of runs that end in a crash
 	}
-	b.logger.Log(level, "job decided", zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
-		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
+	b.logger.Log(level, "job decided", append(j.closeAccount(now), zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
+		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))...)
 	if outcome != dotterjob.Completed {
 		j.forEachTask(func(t *task) {
 			switch {
 			case t.phase == bound:
-				b.release(t)
+				b.release(now, t, dotteraccount.Dropped)
 			case t.isBound():
 				b.stop(now, t, reason)
 			}
@@ -311,11 +313,12 @@
 }
 
 // bind binds the next run of a task to a worker and reserves capacity for it.
-func (b *Board) bind(t *task, w *worker) {
+func (b *Board) bind(now dotterclock.Millis, t *task, w *worker) {
+	t.job().account.Bind(&t.account, now, t.step.readyAt)
 	t.run++
 	t.phase, t.worker = bound, w
 	t.sentAt, t.atWorkSince, t.inheritedWeight = 0, 0, 0
-	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopRetryAt = 0, 0, 0, false, 0
+	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopReason, t.stopRetryAt = 0, 0, 0, false, "", 0
 	t.progress, t.used, t.tail, t.overTargetSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
@@ -329,9 +332,11 @@
 	b.markDirty(j)
 }
 
-// release unbinds a task from its worker. The task is waiting afterwards.
-func (b *Board) release(t *task) {
+// release unbinds a task from its worker, where its run has met the fate. The task is waiting
+// afterwards.
+func (b *Board) release(now dotterclock.Millis, t *task, fate dotteraccount.Fate) {
 	w := t.worker
+	t.job().account.End(&t.account, now, t.id(), w.ID, fate, t.stopReason)
 	delete(w.runs, t.ref())
 	w.reserved = w.reserved.Sub(t.step.Reserved())
 	w.endTrial(t)
@@ -348,7 +353,7 @@
 	b.counters.Lost++
 	b.logger.Info("run lost", b.runFields(t, zap.String("Reason", reason), zap.Int64("HeardMsAgo", int64(now-t.worker.heardAt)),
 		zap.Bool("Contacted", t.worker.contacted), zap.Int64("AliveMsAgo", int64(now-t.worker.aliveAt())), zap.Int64("AgeWhenAliveMs", int64(t.worker.aliveAt()-t.sentAt)))...)
-	b.release(t)
+	b.release(now, t, dotteraccount.Lost)
 }
 
 // stop orders the worker to stop the run of a task, once per run.
@@ -356,7 +361,7 @@
 	if t.stopping || !t.mayHaveReachedWorker() {
 		return
 	}
-	t.stopping = true
+	t.stopping, t.stopReason = true, reason
 	t.stopRetryAt = 0
 	b.logger.Info("run stopped", b.runFields(t, zap.String("Reason", reason), zap.Int("Progress", t.progress))...)
 	t.worker.send(&Order{kind: orderStop, task: t, ref: t.ref()})
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -4,7 +4,10 @@
 	"math/bits"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 )
@@ -38,6 +41,7 @@
 	ends            []*end             // received since the last batch
 	outgoing        []*Transfer        // handed over since the last batch
 	incoming        []string           // keys of transfers that were applied since the last batch
+	account         dotteraccount.Account
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
@@ -115,6 +119,17 @@
 	return dotterjob.Queued
 }
 
+// closeAccount returns the time account of the job, which is decided now, as log fields.
+func (j *job) closeAccount(now dotterclock.Millis) []zap.Field {
+	closed := j.account
+	j.forEachTask(func(t *task) {
+		if t.phase != done && t.phase != away {
+			closed.Close(&t.account, now, t.step.readyAt)
+		}
+	})
+	return closed.Fields(j.localAcceptedAt, now)
+}
+
 // forEachTask calls visit for each task.
 func (j *job) forEachTask(visit func(*task)) {
 	for _, o := range j.occurrences {
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 )
@@ -226,6 +227,7 @@
 	if t.phase == inherited && t.sentAt != 0 {
 		t.atWorkSince = t.sentAt
 	}
+	t.job().account.Start(&t.account, now)
 	t.phase, t.inheritedWeight = running, 0
 	if t.answeredAt == 0 {
 		t.answeredAt = now
@@ -336,7 +338,7 @@
 	if ending == dotterrun.Done && t.fromScratch && !t.speedObserved && t.pacedAt < t.startedAt {
 		b.observeSpeed(now, w, t, now-t.startedAt, 1)
 	}
-	b.release(t)
+	b.release(now, t, fateOf(ending))
 	switch ending {
 	case dotterrun.Done:
 		w.faults.recordSuccess(now)
@@ -352,6 +354,19 @@
 	}
 }
 
+// fateOf returns the fate of a run for the account of its job.
+func fateOf(ending dotterrun.Ending) dotteraccount.Fate {
+	switch ending {
+	case dotterrun.Done:
+		return dotteraccount.Done
+	case dotterrun.Failed:
+		return dotteraccount.Failed
+	case dotterrun.Stopped:
+		return dotteraccount.Stopped
+	}
+	return dotteraccount.Lost
+}
+
 // complete marks a task done, and finishes the job if no other task is open.
 func (b *Board) complete(now dotterclock.Millis, t *task) {
 	if t.step.LongRunning {
@@ -384,7 +399,7 @@
 	for _, t := range s.tasks {
 		if t.isBound() {
 			t.gangDone = true
-			b.release(t)
+			b.release(now, t, dotteraccount.Done)
 		}
 		if t.phase == waiting {
 			b.complete(now, t)
@@ -397,7 +412,7 @@
 	for _, t := range s.tasks {
 		switch {
 		case t.phase == bound:
-			b.release(t)
+			b.release(now, t, dotteraccount.Dropped)
 		case t.isBound():
 			b.stop(now, t, "another member of the gang ended")
 		}
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
@@ -102,7 +103,7 @@
 // dropStart releases a task whose start order was not sent.
 func (b *Board) dropStart(now dotterclock.Millis, t *task) {
 	b.logger.Info("start dropped", b.runFields(t, zap.Bool("Open", b.isOpen(now, t.worker)), zap.String("Free", t.worker.free().String()))...)
-	b.release(t)
+	b.release(now, t, dotteraccount.Dropped)
 	if t.step.Gang {
 		b.stopGang(now, t.step)
 	}
@@ -180,7 +181,7 @@
 	case dotterrun.RefusedTicket:
 		t.step.tickets.drop(w)
 	}
-	b.release(t)
+	b.release(now, t, dotteraccount.Dropped)
 	if t.step.Gang {
 		b.stopGang(now, t.step)
 	}
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 )
 
@@ -355,7 +356,7 @@
 	if k, ok := p.board.kept[w.Service]; ok && !t.step.Fills {
 		k.placed(p.now, t, w.free().MilliCores)
 	}
-	p.board.bind(t, w)
+	p.board.bind(p.now, t, w)
 	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
 }
@@ -390,7 +391,7 @@
 		w := p.choose(t)
 		if w == nil {
 			for _, placed := range s.tasks[:i] {
-				p.board.release(placed)
+				p.board.release(p.now, placed, dotteraccount.Dropped)
 			}
 			return false
 		}
--- a/internal/job/dotterboard/plan_bench_test.go
+++ b/internal/job/dotterboard/plan_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 )
@@ -51,7 +52,7 @@
 						s.board.mu.Lock()
 						j.forEachTask(func(t *task) {
 							if t.isBound() {
-								s.board.release(t)
+								s.board.release(now, t, dotteraccount.Dropped)
 							}
 						})
 						s.board.mu.Unlock()
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -137,6 +137,9 @@
 		return err
 	}
 	j.begun, j.visiting, j.moves = r.Begun, r.Visiting, r.Moves
+	if r.Begun || r.Moves > 0 {
+		j.account.Inherit()
+	}
 	for _, s := range r.Steps {
 		b.restoreStep(now, j.occurrences[s.Occurrence].steps[s.Step], s)
 	}
@@ -190,6 +193,7 @@
 		w.knownAt = r.Address
 		w.absentSince = now
 	}
+	t.job().account.InheritRun(&t.account, now)
 	t.phase, t.worker = inherited, w
 	t.pace, t.paceWanted = 100, 100
 	if r.BoundAt != 0 {
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 )
@@ -45,6 +46,7 @@
 	answeredAt      dotterclock.Millis // when the start was answered, timed out or was first listed; 0: not yet
 	stopAnsweredAt  dotterclock.Millis // when a stop of this run was last carried out; 0: never
 	stopping        bool               // whether the run is to be stopped
+	stopReason      string             // why
 	stopRetryAt     dotterclock.Millis // when to repeat the stop order; 0: no repeat scheduled
 	workerStartedAt dotterclock.Millis // StartedAt of the worker incarnation that listed the run; 0: none has
 
@@ -60,6 +62,8 @@
 	pace            int                // percent of full speed, as last confirmed by the worker
 	paceWanted      int                // percent of full speed, as last ordered
 	pacedAt         dotterclock.Millis // when pace last changed
+
+	account dotteraccount.Task
 }
 
 // id returns the task's ID.
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -101,6 +101,7 @@
 	}
 	j.begun = j.begun || t.Record.Begun
 	j.moves = max(j.moves, t.Record.Moves)
+	j.account.Inherit() // the other shard's account stays there
 	count := 0
 	if t.Home {
 		j.visiting = false
