Weigh the stop of a filling task against a reduced pace

Cause: limitInterference decided by the share in the load alone and stopped filling tasks, also where StopMs and RestoreMs together cost more than such a task runs for.

Change: package dotterrelief decides for a worker which filling tasks to stop, to slow down or to leave. ByLoad is the decision so far, moved out of the board; ByCost reduces paces as far as necessary and stops a task once its delay has reached the cost of the stop (lost work, StopMs, RestoreMs, earlier stops, slack, last task of a job). A successor sets runs that it finds to full pace, since workers do not list paces. The stand-in pool can model paces, checkpoints, StopMs and RestoreMs. TestPaceOfAnyFittingTaskIsRestored checks the same cases through the new call. Actions are counted in dotterelusher_relief_actions_total.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -321,6 +321,7 @@
 	t.stopAnsweredAt, t.answeredAt, t.validUntil, t.stopping, t.stopReason, t.stopRetryAt = 0, 0, 0, false, "", 0
 	t.progress, t.used, t.tail, t.overTargetSince, t.pace, t.paceWanted = 0, 0, 0, 0, 100, 100
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
+	t.paceUnknown, t.delay, t.checkpointAt = false, 0, 0
 	t.step.waiting--
 	t.job().runs++
 	w.reserved = w.reserved.Add(t.step.Reserved())
--- a/internal/job/dotterboard/control_test.go
+++ b/internal/job/dotterboard/control_test.go
@@ -74,7 +74,11 @@
 }
 
 func newLoadedShard(t *testing.T, workers int, ownLoad float64, factors map[string]float64) *loadedShard {
-	s := &loadedShard{shard: newShard(t, workers), ownLoad: ownLoad, factors: factors, overFor: map[string]dotterclock.Millis{}}
+	return newLoadedShardWith(t, testSettings, workers, ownLoad, factors)
+}
+
+func newLoadedShardWith(t *testing.T, settings Settings, workers int, ownLoad float64, factors map[string]float64) *loadedShard {
+	s := &loadedShard{shard: newShardWith(t, settings, workers), ownLoad: ownLoad, factors: factors, overFor: map[string]dotterclock.Millis{}}
 	s.run(200)
 	if workers > 0 {
 		serving := servingStep("serving", workers)
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterrelief"
 )
 
 // Counters counts a board's decisions and their results since its owner took over.
@@ -14,14 +15,15 @@
 	Refused        map[dotterrun.Refusal]int64
 	Endings        map[dotterrun.Ending]int64
 	Outcomes       map[dotterjob.State]int64
-	ResolvedByStop int64 // unanswered starts ruled out by an answered stop
-	Lost           int64 // runs that ended without a reported end
-	Rankings       int64 // rankings of all workers for a step
-	Excluded       int64 // jobs that are left as they are stored, because they cannot be handled
-	Panics         int64 // contained panics that belong to no single job
-	Crashes        int64 // crashes of workers that were counted against a task
-	HandedOver     int64 // tasks handed over to other shards
-	Absorbed       int64 // tasks taken from other shards
+	ResolvedByStop int64                       // unanswered starts ruled out by an answered stop
+	Lost           int64                       // runs that ended without a reported end
+	Rankings       int64                       // rankings of all workers for a step
+	Excluded       int64                       // jobs that are left as they are stored, because they cannot be handled
+	Panics         int64                       // contained panics that belong to no single job
+	Crashes        int64                       // crashes of workers that were counted against a task
+	HandedOver     int64                       // tasks handed over to other shards
+	Absorbed       int64                       // tasks taken from other shards
+	Relief         map[dotterrelief.Kind]int64 // actions on filling tasks for serving ones
 }
 
 func newCounters() Counters {
@@ -29,6 +31,7 @@
 		Refused:  map[dotterrun.Refusal]int64{},
 		Endings:  map[dotterrun.Ending]int64{},
 		Outcomes: map[dotterjob.State]int64{},
+		Relief:   map[dotterrelief.Kind]int64{},
 	}
 }
 
@@ -80,7 +83,7 @@
 }
 
 func (c Counters) clone() Counters {
-	c.Refused, c.Endings, c.Outcomes = maps.Clone(c.Refused), maps.Clone(c.Endings), maps.Clone(c.Outcomes)
+	c.Refused, c.Endings, c.Outcomes, c.Relief = maps.Clone(c.Refused), maps.Clone(c.Endings), maps.Clone(c.Outcomes), maps.Clone(c.Relief)
 	return c
 }
 
--- a/internal/job/dotterboard/federation_test.go
+++ b/internal/job/dotterboard/federation_test.go
@@ -47,7 +47,7 @@
 			f.pool.Add(w)
 		}
 		f.inbox[name] = map[string]Transfer{}
-		s := &shard{t: t, clock: f.clock, pool: f.pool, stored: map[dotterjob.ID][]byte{}, storeUp: true, name: name, federation: f}
+		s := &shard{settings: testSettings, t: t, clock: f.clock, pool: f.pool, stored: map[dotterjob.ID][]byte{}, storeUp: true, name: name, federation: f}
 		f.shards[name] = s
 		s.takeOver(0)
 	}
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -205,8 +205,8 @@
 	}
 	t.workerStartedAt = w.StartedAt
 	b.clearIfSound(t)
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = r.Checkpoint, now
 	}
 	if r.Progress > t.progress {
 		t.progress, t.progressAt = r.Progress, now
@@ -233,6 +233,9 @@
 		t.answeredAt = now
 	}
 	t.startedAt, t.progressAt = now, now
+	if b.settings.WeighStops && t.paceUnknown && t.step.Fills {
+		b.setPace(t.worker, t, 100) // a previous owner may have slowed the run down
+	}
 	t.job().begun = true
 	if t.job().outcome != "" {
 		b.stop(now, t, "job has a final state")
--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -76,7 +76,7 @@
 	case orderStop:
 		o.Stop = &base
 	case orderPace:
-		if t.phase != running || t.paceWanted == t.pace {
+		if t.phase != running || t.paceWanted == t.pace && !t.paceUnknown {
 			return false
 		}
 		base.Percent = t.paceWanted
@@ -144,7 +144,7 @@
 		t.stopRetryAt = now + startValidity
 	case orderPace:
 		if err == nil && answer.Refused == dotterrun.NotRefused {
-			t.pace, t.pacedAt = o.Pace.Percent, now
+			t.confirmPace(now, o.Pace.Percent)
 		} else {
 			t.paceWanted = t.pace
 		}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -195,7 +195,7 @@
 	}
 	t.job().account.InheritRun(&t.account, now)
 	t.phase, t.worker = inherited, w
-	t.pace, t.paceWanted = 100, 100
+	t.pace, t.paceWanted, t.paceUnknown = 100, 100, true
 	if r.BoundAt != 0 {
 		t.boundAt = r.BoundAt - b.wallOffset
 		t.sentAt, t.inheritedWeight = t.boundAt, r.Pending
--- a/internal/job/dotterboard/recovery_test.go
+++ b/internal/job/dotterboard/recovery_test.go
@@ -1,12 +1,14 @@
 package dotterboard
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterrelief"
 )
 
 // TestIgnoredEndIsAcknowledgedAfterLeaseExpiry guards against ends that a worker lists
@@ -57,22 +59,22 @@
 		s.run(800)
 		w := s.board.workers["w00"]
 		now := s.clock.Now()
-		var big, little, serving *task
+		var big, little *task
 		for _, r := range w.runs {
 			switch r.step.Image {
 			case "large":
 				big = r
 			case "small":
 				little = r
-			default:
-				serving = r
 			}
 		}
 		big.pace, big.paceWanted, little.pace, little.paceWanted = 10, 10, 10, 10
 		w.movedAt, w.orders = 0, nil
-		require.False(t, s.board.fitsAtFullPace(now, w, big), "load %f", serving.expectedLoad(now))
-		require.True(t, s.board.fitsAtFullPace(now, w, little), "load %f", serving.expectedLoad(now))
-		s.board.restorePace(now, w)
+		v := s.board.newReliefView(now, w)
+		loadWith := func(t *task) float64 { return v.Serving[0].Load + v.Filling[slices.Index(v.filling, t)].AtFullPace[0] }
+		require.Greater(t, loadWith(big), dotterrelief.LoadTarget)
+		require.LessOrEqual(t, loadWith(little), dotterrelief.LoadTarget)
+		s.board.relieve(now, w)
 		assert.Equal(t, 10, big.paceWanted)
 		assert.Equal(t, 100, little.paceWanted)
 	}
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -9,6 +9,11 @@
 	RetentionDuration dotterclock.Millis // how long a job stays visible after its final state
 	DirectoryGrace    dotterclock.Millis // how long a live worker may be missing from the directory
 	RemoteSlowdown    float64            // run time off the data's rack divided by the run time on it
+
+	StopDelay          dotterclock.Millis // longest time from a stop order until the run's room is free
+	RestoreDelay       dotterclock.Millis // longest time that a run needs before it continues from a checkpoint
+	CheckpointInterval dotterclock.Millis // longest time between two checkpoints of a run; 0: unknown
+	WeighStops         bool               // whether filling tasks beside serving ones are slowed down where a stop costs more; see dotterrelief.ByCost
 }
 
 const (
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -32,6 +32,7 @@
 // shard is a board with its stored state and a pool of workers, on a clock that the test
 // advances.
 type shard struct {
+	settings Settings
 	t        *testing.T
 	clock    *dotterclock.Manual
 	pool     *dotterstandpool.Pool
@@ -50,8 +51,13 @@
 }
 
 func newShard(t *testing.T, workers int) *shard {
+	return newShardWith(t, testSettings, workers)
+}
+
+// newShardWith returns a shard with other settings than testSettings.
+func newShardWith(t *testing.T, settings Settings, workers int) *shard {
 	s := &shard{
-		t: t, clock: dotterclock.NewManual(1_000_000), stored: map[dotterjob.ID][]byte{}, storeUp: true,
+		settings: settings, t: t, clock: dotterclock.NewManual(1_000_000), stored: map[dotterjob.ID][]byte{}, storeUp: true,
 	}
 	s.pool = dotterstandpool.New(s.clock, testLease)
 	for i := range workers {
@@ -81,7 +87,7 @@
 func (s *shard) takeOver(window dotterclock.Millis) {
 	s.epoch++
 	now := s.clock.Now()
-	s.board = New(testSettings, s.epoch, now, now+window, zap.NewNop())
+	s.board = New(s.settings, s.epoch, now, now+window, zap.NewNop())
 	s.board.Configure(testDocument(), map[string]bool{})
 	for _, j := range s.accepted {
 		s.board.Accept(now, now-j.AcceptedAt, j)
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -62,6 +62,10 @@
 	pace            int                // percent of full speed, as last confirmed by the worker
 	paceWanted      int                // percent of full speed, as last ordered
 	pacedAt         dotterclock.Millis // when pace last changed
+	paceUnknown     bool               // a previous owner may have left the run at another pace
+	delay           dotterclock.Millis // time that the run lost by reduced paces until pacedAt
+	reliefStops     int                // runs that were stopped for serving tasks
+	checkpointAt    dotterclock.Millis // when the run's last checkpoint was first listed; 0: it has none
 
 	account dotteraccount.Task
 }
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -21,6 +21,7 @@
 	resolved    *prometheus.Desc
 	transferred *prometheus.Desc
 	excluded    *prometheus.Desc
+	relief      *prometheus.Desc
 	crashes     *prometheus.Desc
 	panics      *prometheus.Desc
 }
@@ -42,6 +43,7 @@
 		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
 		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
+		relief:      desc("relief_actions_total", "Orders to filling tasks for the sake of serving tasks beside them, by action.", "shard", "action"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
@@ -83,6 +85,9 @@
 		for outcome, n := range s.Outcomes {
 			counter(c.outcomes, n, shard, string(outcome))
 		}
+		for action, n := range s.Relief {
+			counter(c.relief, n, shard, string(action))
+		}
 		counter(c.resolved, s.ResolvedByStop, shard, "Sealed")
 		counter(c.resolved, s.Lost, shard, "Lost")
 		counter(c.transferred, s.HandedOver, shard, "Sent")
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -33,6 +33,7 @@
 	returns     []returning
 	delayed     []func()
 	history     history
+	costs       *Costs // nil: runs ignore paces, stop at once and start from the beginning
 }
 
 // returning is a worker that has crashed and returns at an instant.
@@ -85,6 +86,21 @@
 	p.deadly[id] = true
 }
 
+// Costs are what the stop of a run costs.
+type Costs struct {
+	Stop    dotterclock.Millis // from the stop order until the run has ended
+	Restore dotterclock.Millis // that a run needs before it continues from a checkpoint
+	Save    dotterclock.Millis // work between two checkpoints of a run
+}
+
+// SetCosts makes runs that start from now on work at their pace, save checkpoints if their
+// step has them, continue from the last one and end only some time after a stop order.
+func (p *Pool) SetCosts(c Costs) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.costs = &c
+}
+
 // ReturnAfter makes workers that crash from now on return after the delay, as new workers
 // at the same address.
 func (p *Pool) ReturnAfter(delay dotterclock.Millis) {
@@ -260,6 +276,7 @@
 // Pace implements dotterelusher.RunClient.
 func (p *Pool) Pace(_ context.Context, w dotterworker.Worker, o dotterrun.Order) (dotterrun.Answer, error) {
 	return p.execute(w.ID, func(w *Worker) dotterrun.Answer {
+		w.tick() // counts the work at the old pace
 		if r, ok := w.running[o.Task]; ok && r.Run == o.Run {
 			r.pace = o.Percent
 		}
--- a/internal/standin/dotterstandpool/worker.go
+++ b/internal/standin/dotterstandpool/worker.go
@@ -1,6 +1,8 @@
 package dotterstandpool
 
 import (
+	"strconv"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
@@ -40,6 +42,69 @@
 	deadly    bool // crashes the worker when it is due
 	pace      int
 	tail      dotterclock.Millis
+	work      *work // nil: the run ignores its pace and stops at once
+}
+
+// work is the progress of a run in a pool with costs.
+type work struct {
+	Costs
+	checkpoints bool
+	done        float64            // work done, in milliseconds at full pace
+	at          dotterclock.Millis // up to when it is counted
+	stopAt      dotterclock.Millis // when the run ends after a stop order; 0: it has none
+}
+
+// advance counts the work until now.
+func (k *work) advance(now dotterclock.Millis, pace int) {
+	if k.stopAt == 0 && now > k.at {
+		k.done += float64((now-k.at)*dotterclock.Millis(pace)) / 100
+		k.at = now
+	}
+}
+
+// saved returns the work of the last checkpoint.
+func (k *work) saved() dotterclock.Millis {
+	if !k.checkpoints || k.Save <= 0 {
+		return 0
+	}
+	return dotterclock.Millis(k.done) / k.Save * k.Save
+}
+
+// checkpoint returns the last checkpoint, empty if there is none.
+func (k *work) checkpoint() string {
+	if k.saved() == 0 {
+		return ""
+	}
+	return strconv.FormatInt(int64(k.saved()), 10)
+}
+
+// newWork returns the progress of a run that continues from a checkpoint, if there is one.
+func newWork(c Costs, checkpoints bool, now dotterclock.Millis, checkpoint string) *work {
+	k := &work{Costs: c, checkpoints: checkpoints, at: now}
+	if saved, err := strconv.ParseInt(checkpoint, 10, 64); err == nil {
+		k.done, k.at = float64(saved), now+c.Restore
+	}
+	return k
+}
+
+// advance counts the run's work until now, and returns when the run is due: now or later.
+func (r *run) advance(now dotterclock.Millis) dotterclock.Millis {
+	if r.work == nil {
+		return r.startedAt + r.duration
+	}
+	r.work.advance(now, r.pace)
+	if r.work.stopAt == 0 && r.work.done >= float64(r.duration) {
+		return now
+	}
+	return now + 1
+}
+
+// progress returns the progress in percent.
+func (r *run) progress(now dotterclock.Millis) int {
+	if r.work == nil {
+		return int(100 * (now - r.startedAt) / max(1, r.duration))
+	}
+	return int(100 * r.work.done / float64(max(1, r.duration)))
 }
 
 // clock returns the worker's clock: the time since its current incarnation started.
@@ -51,8 +116,10 @@
 func (w *Worker) tick() {
 	now := w.pool.clock.Now()
 	for _, r := range w.running {
-		due := r.startedAt + r.duration
+		due := r.advance(now)
 		switch {
+		case r.work != nil && r.work.stopAt != 0 && r.work.stopAt <= now:
+			w.end(r, dotterrun.Stopped, now)
 		case r.deadly && due <= now:
 			w.pool.recordCrash(r)
 			w.crash()
@@ -82,6 +149,9 @@
 	checkpoint := ""
 	if ending != dotterrun.Done {
 		checkpoint = "saved by " + r.Task.String()
+		if r.work != nil {
+			checkpoint = r.work.checkpoint()
+		}
 	}
 	w.ended = append(w.ended, dotterrun.End{Number: w.lastEndNumber, Ref: r.Ref, Ending: ending, Checkpoint: checkpoint})
 	w.pool.recordEnd(w, r, ending, at)
@@ -108,6 +178,9 @@
 		return w.answer(dotterrun.RefusedOld)
 	}
 	r := &run{Ref: s.Ref, startedAt: w.pool.clock.Now(), duration: w.pool.durationOf(s.Task) * max(1, w.slowFactor), failing: w.failing || w.pool.jobFails(s.Task), pace: 100}
+	if step, ok := w.pool.stepOf(s.Task); ok && w.pool.costs != nil {
+		r.work = newWork(*w.pool.costs, step.Checkpoints, w.pool.clock.Now(), s.Resume)
+	}
 	if w.pool.deadly[s.Task] {
 		r.deadly, r.duration = true, crashDelay
 	}
@@ -125,7 +198,12 @@
 	w.epoch = o.Epoch
 	w.highestEnded[o.Task] = max(w.highestEnded[o.Task], o.Run)
 	if r, ok := w.running[o.Task]; ok && r.Run <= o.Run {
-		w.end(r, dotterrun.Stopped, w.pool.clock.Now())
+		switch now := w.pool.clock.Now(); {
+		case r.work == nil:
+			w.end(r, dotterrun.Stopped, now)
+		case r.work.stopAt == 0:
+			r.work.stopAt = now + r.work.Stop
+		}
 	}
 	return w.answer(dotterrun.NotRefused)
 }
@@ -145,7 +223,10 @@
 	l := dotterrun.Listing{Clock: w.clock(), StartedAt: w.startedAt, Ended: append([]dotterrun.End(nil), w.ended...)}
 	now := w.pool.clock.Now()
 	for _, r := range w.running {
-		listed := dotterrun.Running{Ref: r.Ref, Progress: int(100 * (now - r.startedAt) / max(1, r.duration)), Tail: r.tail}
+		listed := dotterrun.Running{Ref: r.Ref, Progress: r.progress(now), Tail: r.tail}
+		if r.work != nil {
+			listed.Checkpoint = r.work.checkpoint()
+		}
 		if s, ok := w.pool.stepOf(r.Task); ok && !s.Serves() {
 			listed.Used, listed.Tail = s.Size.MilliCores, 0
 		}
