--- a/internal/job/dotterboard/relief_test.go
+++ b/internal/job/dotterboard/relief_test.go
@@ -38,7 +38,7 @@
 // swingingLoad runs filling tasks beside serving tasks whose user load swings by half in
 // 14 s, for each job at another time. Every third filling job has an image that interferes
 // strongly.
-func swingingLoad(t *testing.T, settings Settings, tasksPerJob int) reliefResult {
+func swingingLoad(t *testing.T, settings Settings, tasksPerJob int, length dotterclock.Millis) reliefResult {
 	const (
 		workers  = 12
 		duration = 60 * dotterclock.Second
@@ -75,7 +75,7 @@
 		if i%3 == 0 {
 			image = "heavy"
 		}
-		submitted[s.submitTo(lowQueue, 1000+i, fillingStep(image, tasksPerJob, 1400, true))] = s.clock.Now()
+		submitted[s.submitTo(lowQueue, 1000+i, fillingStep(image, tasksPerJob, length, true))] = s.clock.Now()
 		for range 10 {
 			s.runLoaded(100)
 			observe()
@@ -88,7 +88,7 @@
 	s.requireNoViolations()
 	for id, at := range ended {
 		r.meanDuration += (at - submitted[id]) / dotterclock.Millis(len(ended))
-		if at-submitted[id] <= 2*1400+1000 {
+		if at-submitted[id] <= 2*length+1000 {
 			r.inTime++
 		}
 	}
@@ -102,13 +102,17 @@
 // and its restart take longer than the run of a filling task: users' loads swing, and a third
 // of the jobs interferes.
 func TestWeighedStopsAreFew(t *testing.T) {
-	tests := map[string]struct{ tasksPerJob int }{
-		"filling tasks fit":            {tasksPerJob: 8},
-		"filling tasks are backlogged": {tasksPerJob: 16},
+	tests := map[string]struct {
+		tasksPerJob int
+		length      dotterclock.Millis // run time of a task
+	}{
+		"filling tasks fit":            {tasksPerJob: 8, length: 1400},
+		"filling tasks are backlogged": {tasksPerJob: 16, length: 1400},
+		"long filling tasks":           {tasksPerJob: 4, length: 6000},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			off, on := swingingLoad(t, weighingSettings(false), tc.tasksPerJob), swingingLoad(t, weighingSettings(true), tc.tasksPerJob)
+			off, on := swingingLoad(t, weighingSettings(false), tc.tasksPerJob, tc.length), swingingLoad(t, weighingSettings(true), tc.tasksPerJob, tc.length)
 			t.Logf("off: %+v", off)
 			t.Logf("on:  %+v", on)
 			assert.LessOrEqual(t, 2*on.stops, off.stops)
@@ -197,7 +201,7 @@
 	id := s.submitTo(lowQueue, 1, fillingStep("light", 1, 60_000, true)) // makes 1% in 600 ms, and the pause between two listings is 100 ms
 	task := s.board.find(dotterjob.TaskID{Job: id})
 	s.until(2000, func() bool { return task.phase == running })
-	s.runLoaded(800) // 1.3%
+	s.runLoaded(800)                     // 1.3%
 	const pause = 4 * dotterclock.Second // more than a run of this length may be without progress
 	s.board.mu.Lock()
 	s.board.setPace(task.worker, task, 0)
