Restart serving tasks that lost their worker first, and spread them

Cause: they waited behind quick tasks for up to 2 s, restarted all on the worker with the most tasks of their step, and beside filling tasks that are known to interfere with them.

Change: Settings.RestartServing puts them first in the order of placement and scores workers by dotterrelief.Restart: tasks of the step on the worker and in its failure domain, predicted load. New serving tasks are packed as before. One log line and a count for each restart.

--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -135,6 +135,8 @@
 		// Prefer workers without serving tasks, then those whose serving tasks are known
 		// to be unaffected, then those with the most unused processor time.
 		return score - highest - deviationWeight*deviation - float64(l.used)/capacity, true
+	case b.restarts(s):
+		return score + b.restartOf(now, l, s).Score(), true
 	case s.Serves():
 		// Pack serving tasks together, so that workers without any remain for other tasks.
 		// Prefer workers with tasks of the same step, which can take more filling tasks
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -25,7 +25,7 @@
 	step       *step
 	objective  dotterclock.Millis
 	timeliness timeliness
-	missed     bool // a long-running task that has run before waits for missedDelay or longer
+	missed     bool // see plan.isMissed
 }
 
 // missedDelay is how long a long-running task that has run before may wait for room behind
@@ -239,10 +239,22 @@
 }
 
 // isMissed reports whether a long-running task of the step that has run before waits for
-// missedDelay or longer.
+// missedDelay or longer, or restarts at once.
 func (p *plan) isMissed(s *step) bool {
-	return s.LongRunning && p.now-s.waitingSince >= missedDelay &&
-		slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == waiting && t.run > 0 })
+	if p.board.restarts(s) {
+		return true
+	}
+	return s.LongRunning && p.now-s.waitingSince >= missedDelay && s.restarting()
+}
+
+// restarts reports whether the step has serving tasks that restart before other tasks.
+func (b *Board) restarts(s *step) bool {
+	return b.settings.RestartServing && s.Serves() && s.restarting()
+}
+
+// restarting reports whether a task of the step that has run before waits.
+func (s *step) restarting() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == waiting && t.run > 0 })
 }
 
 // timelinessOf returns whether the step's job can end in time if its tasks start now.
@@ -356,6 +368,9 @@
 	if k, ok := p.board.kept[w.Service]; ok && !t.step.Fills {
 		k.placed(p.now, t, w.free().MilliCores)
 	}
+	if t.run > 0 && p.board.restarts(t.step) {
+		p.board.noteRestart(p.now, p.load(w), t)
+	}
 	p.board.bind(p.now, t, w)
 	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
--- a/internal/job/dotterboard/ranking.go
+++ b/internal/job/dotterboard/ranking.go
@@ -118,15 +118,23 @@
 	return r.workers[0].worker
 }
 
-// update scores the best worker again after a task was bound to it.
+// update scores the best worker again after a task was bound to it. For tasks that spread over
+// failure domains it lowers other scores too: it goes on until the best score is up to date.
 func (r *ranking) update() {
-	score, ok := r.score(r.workers[0].worker)
-	if !ok {
-		heap.Pop(&r.workers)
-		return
+	spreads := r.plan.board.restarts(r.step)
+	for len(r.workers) > 0 {
+		previous := r.workers[0].score
+		score, ok := r.score(r.workers[0].worker)
+		if ok {
+			r.workers[0].score = score
+			heap.Fix(&r.workers, 0)
+		} else {
+			heap.Pop(&r.workers)
+		}
+		if !spreads || ok && score == previous {
+			return
+		}
 	}
-	r.workers[0].score = score
-	heap.Fix(&r.workers, 0)
 }
 
 // scoredWorker is a worker with its score for a task of the step.
--- a/internal/job/dotterboard/relief.go
+++ b/internal/job/dotterboard/relief.go
@@ -181,6 +181,33 @@
 	b.stop(now, t, reason)
 }
 
+// restartOf returns what a worker means to a task of a serving step that has lost its own.
+func (b *Board) restartOf(now dotterclock.Millis, l *workerLoad, s *step) dotterrelief.Restart {
+	w := l.worker
+	r := dotterrelief.Restart{
+		Tasks: s.Count, OwnLoad: s.tasks[0].ownLoad(now, now+placementHorizon), Added: b.predictAddedLoad(now, l, s),
+		Reserved: float64(w.reserved.MilliCores) / float64(max(1, w.Capacity.MilliCores)),
+	}
+	for _, t := range s.tasks {
+		if t.worker != nil && t.worker.FailureDomain == w.FailureDomain {
+			r.InDomain++
+			if t.worker == w {
+				r.OnWorker++
+			}
+		}
+	}
+	return r
+}
+
+// noteRestart counts and logs the choice of a worker for a serving task that has lost its own.
+func (b *Board) noteRestart(now dotterclock.Millis, l *workerLoad, t *task) {
+	r := b.restartOf(now, l, t.step)
+	b.counters.Relief[dotterrelief.RestartFirst]++
+	b.logger.Info("serving task restarts", zap.String("Job", string(t.job().ID)), zap.String("Task", t.id().String()), zap.Int("Run", t.run+1), zap.String("Worker", l.worker.ID),
+		zap.String("FailureDomain", l.worker.FailureDomain), zap.Int64("WaitedMs", int64(now-t.step.waitingSince)), zap.Int("OnWorker", r.OnWorker), zap.Int("InDomain", r.InDomain),
+		zap.Int("Tasks", r.Tasks), zap.Float64("OwnLoad", r.OwnLoad), zap.Float64("AddedLoad", r.Added), zap.Int64("ListedMsAgo", int64(now-l.worker.heardAt)))
+}
+
 // setPace orders the pace of a run, in percent of full speed.
 func (b *Board) setPace(w *worker, t *task, percent int) {
 	t.paceWanted = percent
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -14,6 +14,7 @@
 	RestoreDelay       dotterclock.Millis // longest time that a run needs before it continues from a checkpoint
 	CheckpointInterval dotterclock.Millis // longest time between two checkpoints of a run; 0: unknown
 	WeighStops         bool               // whether filling tasks beside serving ones are slowed down where a stop costs more; see dotterrelief.ByCost
+	RestartServing     bool               // whether serving tasks that lost their worker restart before other tasks, and spread; see dotterrelief.Restart
 }
 
 const (
--- a/internal/placement/dotterrelief/worker.go
+++ b/internal/placement/dotterrelief/worker.go
@@ -58,6 +58,8 @@
 	Slow    Kind = "Slow"    // reduces the pace
 	Suspend Kind = "Suspend" // sets the pace to 0
 	Raise   Kind = "Raise"   // raises the pace
+
+	RestartFirst Kind = "Restart" // a serving task that lost its worker gets another one; see Restart
 )
 
 // Reason is why an action is taken.
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -43,7 +43,7 @@
 		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
 		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
-		relief:      desc("relief_actions_total", "Orders to filling tasks for the sake of serving tasks beside them, by action.", "shard", "action"),
+		relief:      desc("relief_actions_total", "Orders to filling tasks for serving tasks beside them and restarts of serving tasks, by action.", "shard", "action"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
