Restore the pace of filling tasks when no serving task is left

Cause: paces were raised only with a reading of a serving task. A filling task whose serving neighbours had left kept its reduced pace until it ended; with reduced paces in place of stops that is more frequent.

Change: both decisions of dotterrelief raise paces on a worker without serving tasks. ByCost stops long delayed tasks also where readings are missing.

Measured: TestPaceIsRestoredWithoutServingTasks fails without the change with both decisions.

--- a/internal/job/dotterboard/relief.go
+++ b/internal/job/dotterboard/relief.go
@@ -151,16 +151,18 @@
 
 // relieveBy takes an action and logs what decided it.
 func (b *Board) relieveBy(now dotterclock.Millis, w *worker, v reliefView, a dotterrelief.Action) {
-	t, s := v.filling[a.Filling], v.serving[a.Serving]
-	f := v.Filling[a.Filling]
+	t, f := v.filling[a.Filling], v.Filling[a.Filling]
 	b.counters.Relief[a.Kind]++
 	fields := b.runFields(t, zap.String("Action", string(a.Kind)), zap.String("Reason", string(a.Reason)), zap.Int("FromPercent", t.pace), zap.Int("Percent", a.Percent),
-		zap.String("Serving", s.id().String()), zap.Int64("TailMs", int64(s.tail)), zap.Int64("TargetMs", int64(s.step.TailTarget)),
-		zap.Int64("TailReadMsAgo", int64(now-s.tailReadAt)), zap.Int64("OverMs", int64(v.Serving[a.Serving].OverFor)),
-		zap.Float64("Load", v.Serving[a.Serving].Load), zap.Float64("Guilt", a.Added),
-		zap.String("ServingImage", s.step.Image), zap.String("FillingImage", t.step.Image),
+		zap.Float64("Guilt", a.Added), zap.String("FillingImage", t.step.Image),
 		zap.Int64("WorkMs", int64(f.Stake.Work)), zap.Int64("LeftMs", int64(f.Stake.Left)), zap.Int64("SlackMs", int64(f.Stake.Slack)),
 		zap.Int64("DelayMs", int64(f.Stake.Delay)), zap.Int("EarlierStops", f.Stake.Stops))
+	if a.Serving >= 0 { // otherwise none is left
+		s, known := v.serving[a.Serving], v.Serving[a.Serving]
+		fields = append(fields, zap.String("Serving", s.id().String()), zap.String("ServingImage", s.step.Image), zap.Float64("Load", known.Load),
+			zap.Int64("TailMs", int64(s.tail)), zap.Int64("TargetMs", int64(s.step.TailTarget)),
+			zap.Int64("TailReadMsAgo", int64(now-s.tailReadAt)), zap.Int64("OverMs", int64(known.OverFor)))
+	}
 	switch a.Reason {
 	case dotterrelief.OverTarget:
 		b.logger.Warn("filling task suspended for a serving task", fields...)
--- a/internal/job/dotterboard/relief_test.go
+++ b/internal/job/dotterboard/relief_test.go
@@ -215,3 +215,29 @@
 	assert.Equal(t, 1, s.pool.Starts(id))
 	s.requireNoViolations()
 }
+
+// TestPaceIsRestoredWithoutServingTasks guards against runs that stay slow for good because the
+// serving tasks beside them have left, and with them the readings.
+func TestPaceIsRestoredWithoutServingTasks(t *testing.T) {
+	for name, settings := range map[string]Settings{"by load": weighingSettings(false), "by cost": weighingSettings(true)} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoadedShardWith(t, settings, 0, 0.3, map[string]float64{"light": 0})
+			s.pool.SetCosts(expensiveStops)
+			s.pool.Add(testWorker(0))
+			s.run(300)
+			serving := s.submit(1, servingStep("serving", 1))
+			id := s.submitTo(lowQueue, 2, fillingStep("light", 1, 60_000, false))
+			task := s.board.find(dotterjob.TaskID{Job: id})
+			s.until(2000, func() bool { return task.phase == running && len(s.workersOf(serving)) == 1 })
+			s.board.mu.Lock()
+			s.board.setPace(task.worker, task, 10)
+			s.board.mu.Unlock()
+			s.board.Cancel(s.clock.Now(), serving, Cancellation{})
+			s.run(200)
+			assert.Equal(t, 10, task.pace)
+			s.run(3000)
+			assert.Equal(t, 100, task.pace)
+			assert.Equal(t, 1, s.pool.Starts(id))
+		})
+	}
+}
--- a/internal/placement/dotterrelief/cost.go
+++ b/internal/placement/dotterrelief/cost.go
@@ -30,8 +30,11 @@
 // first, and stops a task once its delay has reached the cost of the stop.
 func ByCost(w Worker, c Costs) []Action {
 	worst := w.worst()
-	if worst < 0 {
-		return nil
+	switch {
+	case len(w.Serving) == 0:
+		return w.raise(noServing)
+	case worst < 0:
+		return w.stopDelayed(0, c, nil) // without readings nothing else is certain
 	}
 	if i := w.longestOver(); i >= 0 && c.isTooLong(w.Serving[i].OverFor) {
 		return w.suspendAll(i, c)
--- a/internal/placement/dotterrelief/load.go
+++ b/internal/placement/dotterrelief/load.go
@@ -33,7 +33,10 @@
 // pace.
 func ByLoad(w Worker, c Costs) []Action {
 	worst := w.worst()
-	if worst < 0 {
+	switch {
+	case len(w.Serving) == 0:
+		return w.raiseOne()
+	case worst < 0:
 		return nil
 	}
 	s := w.Serving[worst]
--- a/internal/placement/dotterrelief/relief_test.go
+++ b/internal/placement/dotterrelief/relief_test.go
@@ -90,6 +90,7 @@
 	delayed := func(delay, left, slack int64, stops int, last bool) Stake {
 		return Stake{Work: 300, Left: millis(left), Slack: millis(slack), Delay: millis(delay), Stops: stops, Last: last}
 	}
+	alone := filling(0, calm)
 	unsettledLow := worker(serving(0.4), filling(0.2, delayed(1800, 900, 0, 0, false)).at(10))
 	unsettledLow.Settled = false
 	tests := map[string]struct {
@@ -98,6 +99,8 @@
 	}{
 		"low load: nothing":                            {worker: worker(serving(0.6), filling(0.2, calm))},
 		"between the thresholds: nothing":              {worker: worker(serving(0.75), filling(0.2, calm), filling(0.1, calm).at(50))},
+		"no serving task is left: raised":              {worker: Worker{Filling: []Filling{alone.at(0)}, Settled: true, Unused: 0.5}, want: []brief{{0, Raise, 100, LoadAllowed}}},
+		"no reading of the tail, long delay: stopped":  {worker: worker(unknown, filling(0.2, delayed(1800, 900, 0, 0, false)).at(10)), want: []brief{{0, Stop, 0, LongDelay}}},
 		"no reading of the tail: nothing":              {worker: worker(unknown, filling(0.2, calm))},
 		"the last order does not show yet: nothing":    {worker: unsettled},
 		"tasks of no effect are left":                  {worker: worker(serving(0.9), filling(0.02, calm))},
@@ -173,6 +176,7 @@
 		"progress that cannot be saved is kept":     {worker: worker(serving(0.85), unsaved), want: []brief{{0, Slow, 10, HighLoad}}},
 		"little progress is not":                    {worker: worker(serving(0.85), fresh), want: []brief{{0, Stop, 0, HighLoad}}},
 		"over its target for too long":              {worker: worker(over, filling(0, calm), unsaved.at(10), unsaved.at(0)), want: []brief{{0, Stop, 0, OverTarget}, {1, Suspend, 0, OverTarget}}},
+		"no serving task is left":                   {worker: Worker{Filling: []Filling{unsaved.at(0)}, Settled: true}, want: []brief{{0, Raise, 100, LoadAllowed}}},
 		"one task at a time is raised":              {worker: worker(serving(0.5), filling(0.3, calm).at(10), filling(0.1, calm).at(10), filling(0.1, calm).at(10)), want: []brief{{1, Raise, 100, LoadAllowed}}},
 	}
 	for name, tc := range tests {
--- a/internal/placement/dotterrelief/worker.go
+++ b/internal/placement/dotterrelief/worker.go
@@ -79,13 +79,16 @@
 	Kind    Kind
 	Percent int // the new pace, unless it is a stop
 	Reason  Reason
-	Serving int     // index of the serving task that matters most to the action
+	Serving int     // index of the serving task that matters most to the action, or noServing
 	Added   float64 // load that the task adds to it before the action
 }
 
-// worst returns the index of the known serving task with the highest load, or -1.
+// noServing is the index of no serving task: all have left the worker.
+const noServing = -1
+
+// worst returns the index of the known serving task with the highest load, or noServing.
 func (w Worker) worst() int {
-	worst := -1
+	worst := noServing
 	for i, s := range w.Serving {
 		if s.Known && (worst < 0 || s.Load > w.Serving[worst].Load) {
 			worst = i
@@ -95,9 +98,9 @@
 }
 
 // longestOver returns the index of the known serving task that has been over its target for
-// longest, or -1.
+// longest, or noServing.
 func (w Worker) longestOver() int {
-	longest := -1
+	longest := noServing
 	for i, s := range w.Serving {
 		if s.Known && s.OverFor > 0 && (longest < 0 || s.OverFor > w.Serving[longest].OverFor) {
 			longest = i
