--- a/internal/job/dotterboard/order.go
+++ b/internal/job/dotterboard/order.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
 )
@@ -75,7 +76,7 @@
 	case orderStop:
 		o.Stop = &base
 	case orderPace:
-		if t.phase != running || t.paceWanted == t.pace {
+		if t.phase != running || t.paceWanted == t.pace && !t.paceUnknown {
 			return false
 		}
 		base.Percent = t.paceWanted
@@ -102,7 +103,7 @@
 // dropStart releases a task whose start order was not sent.
 func (b *Board) dropStart(now dotterclock.Millis, t *task) {
 	b.logger.Info("start dropped", b.runFields(t, zap.Bool("Open", b.isOpen(now, t.worker)), zap.String("Free", t.worker.free().String()))...)
-	b.release(t)
+	b.release(now, t, dotteraccount.Dropped)
 	if t.step.Gang {
 		b.stopGang(now, t.step)
 	}
@@ -143,7 +144,7 @@
 		t.stopRetryAt = now + startValidity
 	case orderPace:
 		if err == nil && answer.Refused == dotterrun.NotRefused {
-			t.pace, t.pacedAt = o.Pace.Percent, now
+			t.confirmPace(now, o.Pace.Percent)
 		} else {
 			t.paceWanted = t.pace
 		}
@@ -180,7 +181,7 @@
 	case dotterrun.RefusedTicket:
 		t.step.tickets.drop(w)
 	}
-	b.release(t)
+	b.release(now, t, dotteraccount.Dropped)
 	if t.step.Gang {
 		b.stopGang(now, t.step)
 	}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -152,6 +152,9 @@
 		return err
 	}
 	j.begun, j.visiting, j.moves = r.Begun, r.Visiting, r.Moves
+	if r.Begun || r.Moves > 0 {
+		j.account.Inherit()
+	}
 	for _, s := range r.Steps {
 		b.restoreStep(now, j.occurrences[s.Occurrence].steps[s.Step], s)
 	}
@@ -216,8 +219,9 @@
 		w.knownAt = r.Address
 		w.absentSince = now
 	}
+	t.job().account.InheritRun(&t.account, now)
 	t.phase, t.worker = inherited, w
-	t.pace, t.paceWanted = 100, 100
+	t.pace, t.paceWanted, t.paceUnknown = 100, 100, true
 	if r.BoundAt != 0 {
 		t.boundAt = r.BoundAt - b.wallOffset
 		t.sentAt, t.inheritedWeight = t.boundAt, r.Pending
