Show use, caps, held tasks and shares of tenants to operators

Cause: nothing showed whether a tenant's job waits for its cap, for its rate or for workers. Change: metrics by tenant (at most 100 by name, the others summed up) and counters of held steps, jobs beyond their rates and given parts; the line job decided has the tenant, the time for which the cap held the job, and whether it was beyond the rate; one line in 5 s for each tenant of which jobs go after others.

--- a/internal/job/dotterboard/allotment.go
+++ b/internal/job/dotterboard/allotment.go
@@ -160,6 +160,9 @@
 	for _, p := range peers {
 		for tenant, t := range p.Vacancy.Tenants {
 			standing := dotterquota.Standing{Shard: p.Shard, Part: dotterquota.Part(t.Part), Need: dotterquota.Part(t.Need), Unused: dotterquota.Part(t.Unused)}
+			if !standing.Valid() {
+				continue
+			}
 			others[tenant] = append(others[tenant], publishedStanding{standing, p.SeenAt})
 			needed = needed || t.Need > 0
 		}
@@ -194,9 +197,9 @@
 			held[s.occurrence.job.Tenant] = held[s.occurrence.job.Tenant].Add(s.waitingRoom())
 		}
 	}
+	a.standings = map[string]dotterquota.Standing{}
 	for name, t := range b.document.Tenants() {
 		if t.Cap.IsZero() {
-			delete(a.standings, name)
 			continue
 		}
 		account := b.account(name)
--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -287,8 +287,14 @@
 	if outcome == dotterjob.Failed {
 		level = zap.WarnLevel // is not dropped with the lines of runs that end in a crash
 	}
-	b.logger.Log(level, "job decided", zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
-		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
+	fields := []zap.Field{
+		zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
+		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)),
+	}
+	if j.Tenant != "" {
+		fields = append(fields, zap.String("Tenant", j.Tenant), zap.Int64("HeldMs", int64(j.heldTime(now))), zap.Bool("BeyondRate", j.arrival != nil && j.arrival.Beyond))
+	}
+	b.logger.Log(level, "job decided", fields...)
 	if outcome != dotterjob.Completed {
 		j.forEachTask(func(t *task) {
 			switch {
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -23,6 +23,7 @@
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
 	Granted        int64 // parts of tenants' caps given to other shards
+	Beyond         int64 // jobs that went after others because of the rates of their tenants
 	Held           int64 // steps that the cap of their tenant has held
 }
 
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -94,7 +94,7 @@
 		return again // because of another of its steps
 	}
 	if p.isBlocked(s) && !p.isStarving(s) {
-		s.heldSince = 0
+		s.endHold(p.now)
 		return min(again, p.now+blockedDuration(s))
 	}
 	if p.placeWithinCap(s) {
@@ -225,7 +225,8 @@
 		}
 		for _, s := range o.steps {
 			if s.waiting == 0 {
-				s.waitingSince, s.heldSince = 0, 0
+				s.waitingSince = 0
+				s.endHold(p.now)
 			} else if s.ready(p.wall) {
 				if s.readyAt == 0 {
 					s.readyAt = p.now
--- a/internal/job/dotterboard/plan_bench_test.go
+++ b/internal/job/dotterboard/plan_bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 )
 
@@ -64,6 +65,46 @@
 	}
 }
 
+// BenchmarkPlanOfTenants plans 600 waiting jobs of several tenants on full workers, some of which
+// are at their caps.
+func BenchmarkPlanOfTenants(b *testing.B) {
+	for _, tenants := range []int{0, 20, 68} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
+			s := newShard(&testing.T{}, 490)
+			var configured []dotterqueues.Tenant
+			for i := range tenants {
+				t := dotterqueues.Tenant{Name: fmt.Sprintf("t%02d", i), Weight: float64(1 + i%15)}
+				if i%2 == 0 {
+					t.Cap = tenantWithCap("", 100).Cap
+				}
+				configured = append(configured, t)
+			}
+			s.configureTenants(configured...)
+			s.run(200)
+			s.submit(1, wholeWorkers(490, 600_000))
+			s.run(200)
+			for i := range 600 {
+				tenant := ""
+				if tenants > 0 {
+					tenant = configured[i%tenants].Name
+				}
+				step := tasks(10, 1000)
+				step.Size.MilliCores += int64(i % 7 * 500)
+				s.submitAs(tenant, testQueue, 2+i, step)
+			}
+			s.tick()
+			b.ResetTimer()
+			for range b.N {
+				now := s.clock.Now()
+				s.board.Plan(now, now)
+				b.StopTimer()
+				s.clock.Advance(1)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
 func benchFillingStep(i, count int) dotterjob.Step {
 	return dotterjob.Step{
 		Count: count, Fills: true, Image: fmt.Sprintf("f%d", i%9), Checkpoints: true, Estimate: 20 * dotterclock.Second,
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -11,7 +11,7 @@
 )
 
 // heldLogInterval is the shortest time between two log lines on steps of one tenant that its
-// cap holds. With 68 tenants at their caps this is at most 14 lines a second.
+// cap holds, and on its jobs beyond its rate. With 68 tenants each is at most 14 lines a second.
 const heldLogInterval = 5 * dotterclock.Second
 
 // drainDelay is how long a gang, or a task larger than the cap, waits for runs of its tenant to end
@@ -27,11 +27,12 @@
 	meters   map[string]*dotterquota.Meter // of the rates at which the tenants' jobs were accepted
 	fullAt   dotterclock.Millis            // when a step last found no worker; 0: never
 
-	allotments allotments
+	beyondLoggedAt map[string]dotterclock.Millis // when jobs beyond the rate were last logged, by tenant
+	allotments     allotments
 }
 
 func newQuota() quota {
-	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}, allotments: newAllotments()}
+	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}, beyondLoggedAt: map[string]dotterclock.Millis{}, allotments: newAllotments()}
 }
 
 // account returns the account of a tenant in this shard. A tenant that is not configured has no cap.
@@ -62,12 +63,12 @@
 	if d.Start > 0 {
 		p.left = d.Start
 		if placed := p.place(s); !placed || p.left > 0 {
-			s.heldSince = 0 // the rest waits for workers, or was handed over
+			s.endHold(p.now) // the rest waits for workers, or was handed over
 			return placed
 		}
 	}
 	if d.Verdict == dotterquota.Within {
-		s.heldSince = 0
+		s.endHold(p.now)
 		return true
 	}
 	p.held[j.Tenant] = p.held[j.Tenant] || d.Verdict < dotterquota.Short
@@ -108,6 +109,27 @@
 		zap.Int64("HeldMs", int64(now-s.heldSince)), zap.Int64("Version", b.document.Version))
 }
 
+// endHold notes that the cap of the step's tenant holds none of its tasks.
+func (s *step) endHold(now dotterclock.Millis) {
+	if s.heldSince != 0 {
+		s.occurrence.job.heldFor += now - s.heldSince
+		s.heldSince = 0
+	}
+}
+
+// heldTime returns for how long the cap of the job's tenant has held tasks, as a sum over its steps.
+func (j *job) heldTime(now dotterclock.Millis) dotterclock.Millis {
+	sum := j.heldFor
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.heldSince != 0 {
+				sum += now - s.heldSince
+			}
+		}
+	}
+	return sum
+}
+
 // failNeverStarting fails the job of a gang that is larger than its tenant's cap, once the job
 // is too late to be of use. Until then the cap may be raised.
 func (p *plan) failNeverStarting(s *step, a dotterquota.Account) {
--- a/internal/job/dotterboard/share.go
+++ b/internal/job/dotterboard/share.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
@@ -37,6 +39,7 @@
 	if b.quota.fullAt == 0 || p.now-b.quota.fullAt > fullMemory {
 		return
 	}
+	p.noteBeyond(cs)
 	shares := b.shares()
 	for begin := 0; begin < len(cs); {
 		end := begin + 1
@@ -48,6 +51,34 @@
 	}
 }
 
+// noteBeyond counts and logs the jobs that go after others because their tenants have sent more than
+// their rates, while workers are full.
+func (p *plan) noteBeyond(cs []candidate) {
+	b := p.board
+	steps := map[string]int{}
+	for _, c := range cs {
+		if !c.isBeyond() {
+			continue
+		}
+		j := c.step.occurrence.job
+		steps[j.Tenant]++
+		if !j.putBack {
+			j.putBack = true
+			b.counters.Beyond++
+		}
+	}
+	for tenant, n := range steps {
+		if at, ok := b.quota.beyondLoggedAt[tenant]; ok && p.now-at < heldLogInterval {
+			continue
+		}
+		b.quota.beyondLoggedAt[tenant] = p.now
+		use := b.quota.uses.Of(tenant)
+		b.logger.Info("jobs beyond the rate of their tenant go after others", zap.String("Tenant", tenant), zap.Int("Steps", n), zap.Int("AllSteps", len(cs)),
+			zap.Float64("Rate", b.rateOf(tenant)), zap.String("Use", use.Room.String()), zap.Int("Runs", use.Runs),
+			zap.Int64("FullMsAgo", int64(p.now-b.quota.fullAt)), zap.Int64("Version", b.document.Version))
+	}
+}
+
 // compareClass orders candidates by all that goes before the shares of their tenants.
 func (c candidate) compareClass(other candidate) int {
 	return cmp.Or(
--- a/internal/job/dotterboard/tenant_summary.go
+++ b/internal/job/dotterboard/tenant_summary.go
@@ -14,6 +14,10 @@
 	Cap     dotterroom.Room // of all shards together; 0 in a field means no limit
 	Waiting int             // tasks of ready steps that are not bound
 	Held    int             // those among them that wait for the cap
+	Beyond  int             // jobs with waiting tasks that are beyond the tenant's rate
+
+	Allotment float64 // fraction of the cap that the shard may use
+	Weight    float64 // jobs per second that the tenant may send
 }
 
 // Tenants returns a summary of each tenant that is configured or has open jobs or runs here, by name.
@@ -24,7 +28,11 @@
 	of := func(name string) *TenantSummary {
 		s, ok := byName[name]
 		if !ok {
-			s = &TenantSummary{Tenant: name, Cap: b.account(name).Cap, Running: b.quota.uses.Of(name).Room}
+			t, _ := b.document.Tenant(name)
+			s = &TenantSummary{
+				Tenant: name, Cap: t.Cap, Running: b.quota.uses.Of(name).Room,
+				Allotment: b.quota.allotments.part(name).Fraction(), Weight: t.Weight,
+			}
 			byName[name] = s
 		}
 		return s
@@ -41,18 +49,22 @@
 		if j.Tenant == "" {
 			continue
 		}
-		s := of(j.Tenant)
+		s, waiting := of(j.Tenant), 0
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
 				if step.waitingSince == 0 {
 					continue // no plan has found it ready
 				}
-				s.Waiting += step.waiting
+				waiting += step.waiting
 				if step.heldSince != 0 {
 					s.Held += step.waiting
 				}
 			}
 		}
+		s.Waiting += waiting
+		if waiting > 0 && j.arrival != nil && j.arrival.Beyond {
+			s.Beyond++
+		}
 	}
 	var summaries []TenantSummary
 	for _, s := range byName {
--- a/internal/placement/dotterquota/gift.go
+++ b/internal/placement/dotterquota/gift.go
@@ -36,6 +36,11 @@
 	return s
 }
 
+// Valid reports whether all parts are between nothing and the whole.
+func (s Standing) Valid() bool {
+	return min(s.Part, s.Need, s.Unused) >= 0 && max(s.Part, s.Need, s.Unused) <= Whole
+}
+
 // Gift is a part that a shard gives to another one.
 type Gift struct {
 	To   string // empty: none
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -1,9 +1,14 @@
 package dotterscheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 )
 
 // Collector exports a scheduler's state as metrics.
@@ -23,8 +28,19 @@
 	excluded    *prometheus.Desc
 	crashes     *prometheus.Desc
 	panics      *prometheus.Desc
+	held        *prometheus.Desc
+	beyond      *prometheus.Desc
+	granted     *prometheus.Desc
+	tenants     *prometheus.Desc
 }
 
+const (
+	// maxNamedTenants bounds the series by tenant.
+	maxNamedTenants = 100
+	// otherTenants is the label of all tenants beyond maxNamedTenants together.
+	otherTenants = "(others)"
+)
+
 // NewCollector returns a collector for scheduler.
 func NewCollector(scheduler *Scheduler, clock dotterelusher.Clock) *Collector {
 	desc := func(name, help string, labels ...string) *prometheus.Desc {
@@ -45,6 +61,10 @@
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
+		held:        desc("steps_held_total", "Steps of which the cap of their tenant has held tasks.", "shard"),
+		beyond:      desc("jobs_beyond_rate_total", "Jobs that went after others, because their tenant has sent more than its rate.", "shard"),
+		granted:     desc("cap_parts_given_total", "Parts of tenants' caps given to other shards.", "shard"),
+		tenants:     desc("tenant", "What tenants use and wait for in the shards that this host owns, by kind.", "tenant", "kind"),
 	}
 }
 
@@ -90,5 +110,57 @@
 		counter(c.excluded, s.Excluded, shard)
 		counter(c.crashes, s.Crashes, shard)
 		counter(c.panics, s.Panics, shard)
+		counter(c.held, s.Held, shard)
+		counter(c.beyond, s.Beyond, shard)
+		counter(c.granted, s.Granted, shard)
+	}
+	c.collectTenants(gauge)
+}
+
+// collectTenants passes the metrics by tenant to gauge.
+func (c *Collector) collectTenants(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
+	for _, t := range c.scheduler.tenantTotals(maxNamedTenants) {
+		for kind, n := range map[string]float64{
+			"UsedCores": float64(t.Running.MilliCores) / 1000, "UsedMemoryMB": float64(t.Running.MemoryMB), "UsedGpus": float64(t.Running.Accelerators),
+			"CapCores": float64(t.Cap.MilliCores) / 1000, "CapMemoryMB": float64(t.Cap.MemoryMB), "CapGpus": float64(t.Cap.Accelerators),
+			"Waiting": float64(t.Waiting), "Held": float64(t.Held), "Beyond": float64(t.Beyond), "Allotment": t.Allotment,
+		} {
+			gauge(c.tenants, n, t.Tenant, kind)
+		}
 	}
 }
+
+// tenantTotals returns the sums over the shards that this host owns of at most the given number of
+// tenants, those with the highest weights, and of all others together.
+func (s *Scheduler) tenantTotals(most int) []dotterboard.TenantSummary {
+	byName := map[string]dotterboard.TenantSummary{}
+	for _, b := range s.ownedBoards() {
+		for _, t := range b.Tenants() {
+			if total, ok := byName[t.Tenant]; ok {
+				shared := t
+				t = addTenant(total, t)
+				t.Cap, t.Weight = shared.Cap, shared.Weight // of all shards together
+			}
+			byName[t.Tenant] = t
+		}
+	}
+	totals := slices.SortedFunc(maps.Values(byName), func(a, b dotterboard.TenantSummary) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	if len(totals) <= most {
+		return totals
+	}
+	others := dotterboard.TenantSummary{Tenant: otherTenants}
+	for _, t := range totals[most:] {
+		others = addTenant(others, t)
+	}
+	return append(totals[:most], others)
+}
+
+// addTenant returns a with the amounts of b added.
+func addTenant(a, b dotterboard.TenantSummary) dotterboard.TenantSummary {
+	a.Running, a.Cap = a.Running.Add(b.Running), a.Cap.Add(b.Cap)
+	a.Waiting, a.Held, a.Beyond = a.Waiting+b.Waiting, a.Held+b.Held, a.Beyond+b.Beyond
+	a.Allotment, a.Weight = a.Allotment+b.Allotment, a.Weight+b.Weight
+	return a
+}
