Let requests that wait for long-running tasks hold nothing back

Cause: a gang, a large task or one larger than the cap that did not fit beside the long-running tasks of its tenant held all other steps of the tenant, as if its turn came with the next ends. Long-running tasks do not end, so nothing of the tenant started any more. Change: use tells the part of long-running tasks; a request that does not fit beside it gets the verdict Short, which holds nobody back. Result: TestLongRunningTasksHoldNothingBack passes, and failed in all three cases before.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -340,14 +340,14 @@
 func (b *Board) reserve(w *worker, t *task) {
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
-	b.quota.uses.Add(t.job().Tenant, t.step.Size)
+	b.quota.uses.Add(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // unreserve undoes reserve.
 func (b *Board) unreserve(w *worker, t *task) {
 	delete(w.runs, t.ref())
 	w.reserved = w.reserved.Sub(t.step.Reserved())
-	b.quota.uses.Remove(t.job().Tenant, t.step.Size)
+	b.quota.uses.Remove(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // release unbinds a task from its worker. The task is waiting afterwards.
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -47,6 +47,7 @@
 func (p *plan) placeWithinCap(s *step) bool {
 	j := s.occurrence.job
 	if j.Tenant == "" || s.Gang && s.waiting < s.Count {
+		s.endHold(p.now)
 		p.left = s.waiting
 		return p.place(s)
 	}
--- a/internal/job/dotterboard/quota_test.go
+++ b/internal/job/dotterboard/quota_test.go
@@ -184,6 +184,36 @@
 	}
 }
 
+// TestLongRunningTasksHoldNothingBack guards against a tenant whose small tasks wait for ever behind a
+// large request, because long-running tasks keep the room under the cap that it needs.
+func TestLongRunningTasksHoldNothingBack(t *testing.T) {
+	gang := tasks(5, 400)
+	gang.Gang = true
+	larger := tasks(1, 400)
+	larger.Size = dotterroom.Room{MilliCores: 45_000, MemoryMB: 8000}
+	big := tasks(3, 400)
+	big.Size = dotterroom.Room{MilliCores: 20_000, MemoryMB: 8000}
+	tests := map[string]dotterjob.Step{"gang": gang, "task larger than the cap": larger, "large task": big}
+	for name, step := range tests {
+		t.Run(name, func(t *testing.T) {
+			north := tenantWithCap("north", 10)
+			s := newTenantShard(t, 4, north)
+			lasting := tasks(6, 100)
+			lasting.LongRunning = true
+			serving := s.submitAs("north", testQueue, 1, lasting)
+			s.watch(100)
+			require.Len(t, s.workersOf(serving), 6)
+			s.submitAs("north", testQueue, 2, step)
+			for i := range 30 {
+				id := s.submitAs("north", testQueue, 10+i, tasks(4, 100))
+				s.watchUntil(1000, s.stateIs(id, dotterjob.Completed))
+			}
+			s.requireWithinCap(north)
+			s.requireNoViolations()
+		})
+	}
+}
+
 // TestGangLargerThanCapFails guards against a gang that waits for ever, and against giving it up
 // because of a cap that is raised again.
 func TestGangLargerThanCapFails(t *testing.T) {
--- a/internal/job/dotterboard/unknown_run.go
+++ b/internal/job/dotterboard/unknown_run.go
@@ -24,7 +24,7 @@
 		}
 		w.unknownRuns[ref] = r
 		w.reserved = w.reserved.Add(r.reserved)
-		b.quota.uses.Add(r.tenant, r.size)
+		b.quota.uses.Add(r.tenant, r.size, false)
 		b.logger.Warn("stopping a run that no task is bound to", zap.String("Job", string(ref.Task.Job)), zap.String("Task", ref.Task.String()),
 			zap.Int("Run", ref.Run), zap.String("Worker", w.ID))
 	}
@@ -37,7 +37,7 @@
 	for ref, r := range w.unknownRuns {
 		if !listed[ref] {
 			w.reserved = w.reserved.Sub(r.reserved)
-			b.quota.uses.Remove(r.tenant, r.size)
+			b.quota.uses.Remove(r.tenant, r.size, false)
 			delete(w.unknownRuns, ref)
 		}
 	}
--- a/internal/placement/dotterquota/account.go
+++ b/internal/placement/dotterquota/account.go
@@ -29,7 +29,7 @@
 	Waves                 // some may start
 	Held                  // none may start, because of what runs
 	Drain                 // the same for a gang or for a task larger than the cap, to which a single end may be of no use
-	Short                 // none may start before the shard has more of the cap
+	Short                 // none may start before the shard has more of the cap, or long-running tasks have ended
 	Never                 // a gang larger than the cap
 )
 
@@ -64,8 +64,11 @@
 	case n > 0:
 		return Decision{Start: n, Verdict: Waves}
 	case within(a.Cap, r.Size, limit):
+		if !within(a.Cap, a.Use.Lasting.Add(r.Size), limit) {
+			return Decision{Verdict: Short}
+		}
 		return Decision{Verdict: Held}
-	case a.Allotment < Whole:
+	case a.Allotment < Whole || a.Use.Lasts > 0:
 		return Decision{Verdict: Short}
 	case a.Use.Runs > 0:
 		return Decision{Verdict: Drain}
@@ -83,7 +86,7 @@
 		return Decision{Start: r.Count}
 	case !within(a.Cap, size, a.Cap):
 		return Decision{Verdict: Never}
-	case !within(a.Cap, size, limit):
+	case !within(a.Cap, a.Use.Lasting.Add(size), limit):
 		return Decision{Verdict: Short}
 	}
 	return Decision{Verdict: Drain}
--- a/internal/placement/dotterquota/uses.go
+++ b/internal/placement/dotterquota/uses.go
@@ -4,8 +4,19 @@
 
 // Use is what may run of a tenant.
 type Use struct {
-	Room dotterroom.Room // sum of the declared sizes
-	Runs int
+	Room    dotterroom.Room // sum of the declared sizes
+	Runs    int
+	Lasting dotterroom.Room // of long-running tasks, which do not end by themselves
+	Lasts   int             // number of these
+}
+
+// add returns u with count more runs of the size.
+func (u Use) add(size dotterroom.Room, lasting bool, count int) Use {
+	u.Room, u.Runs = u.Room.Add(times(size, count)), u.Runs+count
+	if lasting {
+		u.Lasting, u.Lasts = u.Lasting.Add(times(size, count)), u.Lasts+count
+	}
+	return u
 }
 
 // Uses is the use of each tenant by name; that of the empty name is of no tenant.
@@ -23,20 +34,19 @@
 	return u.byName[tenant]
 }
 
-// Add counts one more run of the tenant.
-func (u Uses) Add(tenant string, size dotterroom.Room) {
-	use := u.byName[tenant]
-	u.byName[tenant] = Use{Room: use.Room.Add(size), Runs: use.Runs + 1}
+// Add counts one more run of the tenant, which is of a long-running task or not.
+func (u Uses) Add(tenant string, size dotterroom.Room, lasting bool) {
+	u.byName[tenant] = u.byName[tenant].add(size, lasting, 1)
 }
 
 // Remove counts one run of the tenant less.
-func (u Uses) Remove(tenant string, size dotterroom.Room) {
-	use := u.byName[tenant]
-	if use.Runs <= 1 {
+func (u Uses) Remove(tenant string, size dotterroom.Room, lasting bool) {
+	use := u.byName[tenant].add(size, lasting, -1)
+	if use.Runs <= 0 {
 		delete(u.byName, tenant)
 		return
 	}
-	u.byName[tenant] = Use{Room: use.Room.Sub(size), Runs: use.Runs - 1}
+	u.byName[tenant] = use
 }
 
 // Names returns the tenants of which anything may run, in no particular order.
