Wording of the parts of caps, and contain panics when they are given

Cause: gift, putBack and Lasts are no usual terms; a panic while parts are given released the shard. Change: Grant, deprioritized, LastingRuns; plan.allot is contained like handovers. Result: tests of the job packages, dotterquota, dotterfairshare, dotterscheduler, dottervacancy and dotterdocs pass without TestHotTenantOnFewWorkers (dotterboard 54 s).

--- a/internal/job/dotterboard/allotment.go
+++ b/internal/job/dotterboard/allotment.go
@@ -18,10 +18,10 @@
 	// maxStandingAge is how old what another owner has published of its need may be for a part to be
 	// given to it: owners publish every 0.2 s, and weak hosts read that every 1.2 s.
 	maxStandingAge = 2 * dotterclock.Second
-	// giftInterval is how often a part of a tenant's cap is given at most: after it the need that
+	// grantInterval is how often a part of a tenant's cap is given at most: after it the need that
 	// the receiver publishes shows the last one.
-	giftInterval = 1 * dotterclock.Second
-	// minFreed is the smallest part that is given of one that becomes free as runs end: each gift
+	grantInterval = 1 * dotterclock.Second
+	// minFreed is the smallest part that is given of one that becomes free as runs end: each grant
 	// takes a commit of both owners.
 	minFreed = dotterquota.Whole / 100
 )
@@ -214,30 +214,30 @@
 func (p *plan) give(tenant string, account dotterquota.Account, own dotterquota.Standing) {
 	a := &p.board.quota.allotments
 	delete(a.withheld, tenant)
-	if at, ok := a.givenAt[tenant]; ok && p.now-at < giftInterval {
+	if at, ok := a.givenAt[tenant]; ok && p.now-at < grantInterval {
 		return
 	}
 	others := a.othersOf(p.now, tenant)
-	gift := dotterquota.Give(own, others)
+	grant := dotterquota.Give(own, others)
 	free := own.Part - dotterquota.Needed(account.Use.Room, account.Cap)
-	part := min(gift.Part, free)
-	if part <= 0 || part < gift.Part && part < minFreed {
-		if gift.Part > 0 {
-			a.withheld[tenant] = gift.Part
+	part := min(grant.Part, free)
+	if part <= 0 || part < grant.Part && part < minFreed {
+		if grant.Part > 0 {
+			a.withheld[tenant] = grant.Part
 		}
 		return
 	}
 	a.givenAt[tenant] = p.now
 	a.parts[tenant] = own.Part - part
-	g, ok := a.grants[gift.To]
+	g, ok := a.grants[grant.To]
 	if !ok {
-		g = &Grant{To: gift.To, Parts: map[string]dotterquota.Part{}}
-		a.grants[gift.To] = g
+		g = &Grant{To: grant.To, Parts: map[string]dotterquota.Part{}}
+		a.grants[grant.To] = g
 	}
 	g.Parts[tenant] += part
 	a.dirty = true
 	p.board.counters.Granted++
-	p.board.logger.Info("part of a cap given", zap.String("Tenant", tenant), zap.String("To", gift.To), zap.Float64("Part", part.Fraction()),
+	p.board.logger.Info("part of a cap given", zap.String("Tenant", tenant), zap.String("To", grant.To), zap.Float64("Part", part.Fraction()),
 		zap.Float64("Allotment", (own.Part-part).Fraction()), zap.Float64("Unused", own.Unused.Fraction()), zap.Float64("Need", own.Need.Fraction()), zap.Any("Others", others),
 		zap.String("Use", account.Use.Room.String()), zap.String("Cap", account.Cap.String()), zap.Int64("Version", p.board.document.Version))
 	p.board.notify()
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -41,9 +41,9 @@
 	outgoing        []*Transfer        // handed over since the last batch
 	incoming        []string           // keys of transfers that were applied since the last batch
 
-	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
-	heldFor dotterclock.Millis   // for which its tenant's cap has held tasks, without holds that go on
-	putBack bool                 // whether it was counted as one that goes after others for that rate
+	arrival       *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
+	heldFor       dotterclock.Millis   // for which its tenant's cap has held tasks, without holds that go on
+	deprioritized bool                 // whether it was counted as one that goes after others for that rate
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -66,7 +66,7 @@
 	candidates := p.candidates()
 	p.all = candidates
 	if len(candidates) == 0 {
-		p.allot()
+		b.containShared("allotments", p.allot)
 		return now + maxListingAge
 	}
 	for _, w := range b.workersByID {
@@ -81,7 +81,7 @@
 	for _, c := range candidates {
 		b.contain(c.step.occurrence.job.ID, func() { next = min(next, p.attempt(c.step)) })
 	}
-	p.allot()
+	b.containShared("allotments", p.allot)
 	b.containShared("handover", func() { p.handOver(candidates) })
 	return next
 }
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -188,7 +188,7 @@
 		u := uses[tenant]
 		u.Room, u.Runs = u.Room.Add(size), u.Runs+1
 		if lasting {
-			u.Lasting, u.Lasts = u.Lasting.Add(size), u.Lasts+1
+			u.Lasting, u.LastingRuns = u.Lasting.Add(size), u.LastingRuns+1
 		}
 		uses[tenant] = u
 	}
--- a/internal/job/dotterboard/share.go
+++ b/internal/job/dotterboard/share.go
@@ -62,8 +62,8 @@
 		}
 		j := c.step.occurrence.job
 		steps[j.Tenant]++
-		if !j.putBack {
-			j.putBack = true
+		if !j.deprioritized {
+			j.deprioritized = true
 			b.counters.Beyond++
 		}
 	}
--- a/internal/placement/dotterquota/account.go
+++ b/internal/placement/dotterquota/account.go
@@ -68,7 +68,7 @@
 			return Decision{Verdict: Short}
 		}
 		return Decision{Verdict: Held}
-	case a.Allotment < Whole || a.Use.Lasts > 0:
+	case a.Allotment < Whole || a.Use.LastingRuns > 0:
 		return Decision{Verdict: Short}
 	case a.Use.Runs > 0:
 		return Decision{Verdict: Drain}
--- a/internal/placement/dotterquota/account_test.go
+++ b/internal/placement/dotterquota/account_test.go
@@ -59,10 +59,10 @@
 		"gang fits in part":                    {cap: cap10, use: Use{Room: cores(3), Runs: 1}, request: Request{Size: cores(2), Count: 4, Gang: true}, want: Decision{0, Drain}},
 		"gang larger than the cap":             {cap: cap10, request: Request{Size: cores(3), Count: 4, Gang: true}, want: Decision{0, Never}},
 		"gang larger than the allotment":       {cap: cap10, allotment: Whole / 2, request: Request{Size: cores(2), Count: 4, Gang: true}, want: Decision{0, Short}},
-		"beside long-running tasks, too large": {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), Lasts: 3}, request: Request{Size: cores(5), Count: 2}, want: Decision{0, Short}},
-		"beside long-running tasks":            {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), Lasts: 3}, request: Request{Size: cores(4), Count: 2}, want: Decision{0, Held}},
-		"gang beside long-running tasks":       {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), Lasts: 3}, request: Request{Size: cores(1), Count: 5, Gang: true}, want: Decision{0, Short}},
-		"alone beside long-running tasks":      {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), Lasts: 3}, request: Request{Size: cores(11), Count: 1}, want: Decision{0, Short}},
+		"beside long-running tasks, too large": {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), LastingRuns: 3}, request: Request{Size: cores(5), Count: 2}, want: Decision{0, Short}},
+		"beside long-running tasks":            {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), LastingRuns: 3}, request: Request{Size: cores(4), Count: 2}, want: Decision{0, Held}},
+		"gang beside long-running tasks":       {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), LastingRuns: 3}, request: Request{Size: cores(1), Count: 5, Gang: true}, want: Decision{0, Short}},
+		"alone beside long-running tasks":      {cap: cap10, use: Use{Room: cores(8), Runs: 4, Lasting: cores(6), LastingRuns: 3}, request: Request{Size: cores(11), Count: 1}, want: Decision{0, Short}},
 		"gang of one larger than the cap":      {cap: cap10, request: Request{Size: cores(11), Count: 1, Gang: true}, want: Decision{Start: 1}},
 	}
 	for name, tc := range tests {
--- a/internal/placement/dotterquota/gift.go
+++ b/internal/placement/dotterquota/grant.go
@@ -3,9 +3,9 @@
 import "github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 
 const (
-	// minGift is the smallest part that is given unless it is all that the receiver needs or that
-	// the giver has: each gift takes a commit of both owners.
-	minGift = Whole / 100
+	// minGrant is the smallest part that is given unless it is all that the receiver needs or that
+	// the giver has: each grant takes a commit of both owners.
+	minGrant = Whole / 100
 	// minDifference is how much larger a part must be for its shard to give of it although it could
 	// use all of it.
 	minDifference = Whole / 10
@@ -41,8 +41,8 @@
 	return min(s.Part, s.Need, s.Unused) >= 0 && max(s.Part, s.Need, s.Unused) <= Whole
 }
 
-// Gift is a part that a shard gives to another one.
-type Gift struct {
+// Grant is a part that a shard gives to another one.
+type Grant struct {
 	To   string // empty: none
 	Part Part
 }
@@ -50,7 +50,7 @@
 // Give returns what a shard gives of its part: what it does not use, to the shard that needs the
 // most. A shard that needs its part itself gives to one that has much less and needs more too; it
 // can do so only as its runs end.
-func Give(own Standing, others []Standing) Gift {
+func Give(own Standing, others []Standing) Grant {
 	var to Standing
 	for _, o := range others {
 		if o.Need > to.Need || o.Need == to.Need && o.Need > 0 && o.Shard < to.Shard {
@@ -58,17 +58,17 @@
 		}
 	}
 	if to.Need <= 0 {
-		return Gift{}
+		return Grant{}
 	}
 	if own.Unused > 0 {
 		part := min(own.Unused, to.Need)
-		if part < minGift && part < to.Need && part < own.Part {
-			return Gift{}
+		if part < minGrant && part < to.Need && part < own.Part {
+			return Grant{}
 		}
-		return Gift{To: to.Shard, Part: part}
+		return Grant{To: to.Shard, Part: part}
 	}
 	if own.Part-to.Part < minDifference {
-		return Gift{}
+		return Grant{}
 	}
-	return Gift{To: to.Shard, Part: min(to.Need, (own.Part-to.Part)/shiftDivisor)}
+	return Grant{To: to.Shard, Part: min(to.Need, (own.Part-to.Part)/shiftDivisor)}
 }
--- a/internal/placement/dotterquota/uses.go
+++ b/internal/placement/dotterquota/uses.go
@@ -4,17 +4,17 @@
 
 // Use is what may run of a tenant.
 type Use struct {
-	Room    dotterroom.Room // sum of the declared sizes
-	Runs    int
-	Lasting dotterroom.Room // of long-running tasks, which do not end by themselves
-	Lasts   int             // number of these
+	Room        dotterroom.Room // sum of the declared sizes
+	Runs        int
+	Lasting     dotterroom.Room // of long-running tasks, which do not end by themselves
+	LastingRuns int             // number of these
 }
 
 // add returns u with count more runs of the size.
 func (u Use) add(size dotterroom.Room, lasting bool, count int) Use {
 	u.Room, u.Runs = u.Room.Add(times(size, count)), u.Runs+count
 	if lasting {
-		u.Lasting, u.Lasts = u.Lasting.Add(times(size, count)), u.Lasts+count
+		u.Lasting, u.LastingRuns = u.Lasting.Add(times(size, count)), u.LastingRuns+count
 	}
 	return u
 }
