--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -291,8 +291,13 @@
 	if outcome == dotterjob.Failed {
 		level = zap.WarnLevel // is not dropped with the lines of runs that end in a crash
 	}
-	b.logger.Log(level, "job decided", append(j.closeAccount(now), zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
-		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))...)
+	fields := append(j.closeAccount(now),
+		zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
+		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
+	if j.Tenant != "" {
+		fields = append(fields, zap.String("Tenant", j.Tenant), zap.Int64("HeldMs", int64(j.heldTime(now))), zap.Bool("BeyondRate", j.arrival != nil && j.arrival.Beyond))
+	}
+	b.logger.Log(level, "job decided", fields...)
 	if outcome != dotterjob.Completed {
 		j.forEachTask(func(t *task) {
 			switch {
@@ -340,14 +345,14 @@
 func (b *Board) reserve(w *worker, t *task) {
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
-	b.quota.uses.Add(t.job().Tenant, t.step.Size)
+	b.quota.uses.Add(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // unreserve undoes reserve.
 func (b *Board) unreserve(w *worker, t *task) {
 	delete(w.runs, t.ref())
 	w.reserved = w.reserved.Sub(t.step.Reserved())
-	b.quota.uses.Remove(t.job().Tenant, t.step.Size)
+	b.quota.uses.Remove(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // release unbinds a task from its worker, where its run has met the fate. The task is waiting
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -26,6 +26,7 @@
 	Relief         map[dotterrelief.Kind]int64 // actions on filling tasks for serving ones
 	Granted        int64                       // parts of tenants' caps given to other shards
 	Held           int64                       // steps that the cap of their tenant has held
+	Beyond         int64                       // jobs that went after others because of the rates of their tenants
 }
 
 func newCounters() Counters {
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -46,7 +46,9 @@
 	incoming        []string           // keys of transfers that were applied since the last batch
 	account         dotteraccount.Account
 
-	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
+	arrival       *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
+	heldFor       dotterclock.Millis   // for which its tenant's cap has held tasks, without holds that go on
+	deprioritized bool                 // whether it was counted as one that goes after others for that rate
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -67,7 +67,7 @@
 	candidates := p.candidates()
 	p.all = candidates
 	if len(candidates) == 0 {
-		p.allot()
+		b.containShared("allotments", p.allot)
 		return now + maxListingAge
 	}
 	for _, w := range b.workersByID {
@@ -82,7 +82,7 @@
 	for _, c := range candidates {
 		b.contain(c.step.occurrence.job.ID, func() { next = min(next, p.attempt(c.step)) })
 	}
-	p.allot()
+	b.containShared("allotments", p.allot)
 	b.containShared("handover", func() { p.handOver(candidates) })
 	return next
 }
@@ -95,7 +95,7 @@
 		return again // because of another of its steps
 	}
 	if p.isBlocked(s) && !p.isStarving(s) {
-		s.heldSince = 0
+		s.endHold(p.now)
 		return min(again, p.now+blockedDuration(s))
 	}
 	if p.placeWithinCap(s) {
@@ -226,7 +226,8 @@
 		}
 		for _, s := range o.steps {
 			if s.waiting == 0 {
-				s.waitingSince, s.heldSince = 0, 0
+				s.waitingSince = 0
+				s.endHold(p.now)
 			} else if s.ready(p.wall) {
 				if s.readyAt == 0 {
 					s.readyAt = p.now
