--- a/internal/model/dottervacancy/vacancy.go
+++ b/internal/model/dottervacancy/vacancy.go
@@ -15,6 +15,7 @@
 	Published bool               `json:",omitempty"` // false in the head of an owner that has not loaded its shard yet
 	Services  map[string]Service `json:",omitempty"`
 	Pending   map[string]int     `json:",omitempty"` // by queue: jobs of which no task has started
+	Outlook   Outlook            `json:",omitzero"`
 }
 
 // Service describes the workers of a service that accept starts. Processor time is in
