Tell a new owner what its predecessor published

Cause: a new owner needs 3 s to measure the drain of a backlog, but is to decide as its predecessor within 1 s. Change: the committer keeps the vacancy of the head that it replaced. Result: TestSuccessorSeesWhatWasPublished passes, also after a release.

--- a/internal/job/dotterhead/committer.go
+++ b/internal/job/dotterhead/committer.go
@@ -46,6 +46,7 @@
 	predecessorExpiry dotterclock.Millis
 	confirmedAt       atomic.Int64
 	vacancy           dottervacancy.Vacancy
+	predecessor       dottervacancy.Vacancy
 }
 
 // Epoch returns the owner's epoch.
@@ -63,6 +64,11 @@
 	return c.predecessorExpiry
 }
 
+// PredecessorVacancy returns what the previous owner published last.
+func (c *Committer) PredecessorVacancy() dottervacancy.Vacancy {
+	return c.predecessor
+}
+
 // OwnershipValid reports whether this host may still send orders as the owner.
 func (c *Committer) OwnershipValid() bool {
 	return c.clock.Now()-c.ConfirmedAt() < OwnershipTimeout
--- a/internal/job/dotterhead/elector.go
+++ b/internal/job/dotterhead/elector.go
@@ -280,7 +280,7 @@
 	previous, version, unchangedSince := h.head, h.version, h.changedAt
 	e.mu.Unlock()
 	now := e.clock.Now()
-	c := &Committer{store: e.store, key: e.prefix + shard, clock: e.clock, logger: e.logger.With(zap.String("Shard", shard)), head: previous, version: version}
+	c := &Committer{store: e.store, key: e.prefix + shard, clock: e.clock, logger: e.logger.With(zap.String("Shard", shard)), head: previous, version: version, predecessor: previous.Vacancy}
 	c.confirmedAt.Store(int64(now))
 	next := Head{Host: e.self.Host, Address: e.self.Address, Epoch: previous.Epoch + 1, Commit: 1}
 	if err := c.advance(ctx, next, nil, nil); err != nil {
--- a/internal/job/dotterhead/head_test.go
+++ b/internal/job/dotterhead/head_test.go
@@ -334,3 +334,16 @@
 	elector.readHeads(t.Context())
 	assert.False(t, elector.Live(testShard))
 }
+
+// TestSuccessorSeesWhatWasPublished guards against a new owner that has to measure for seconds what
+// its predecessor has published.
+func TestSuccessorSeesWhatWasPublished(t *testing.T) {
+	clock := dotterclock.NewSystem()
+	store := dottermemory.New(clock)
+	c := takeOver(t, store, clock, "a1")
+	published := dottervacancy.Vacancy{Published: true, Outlook: dottervacancy.Outlook{At: 5, Lanes: []dottervacancy.Lane{{Service: "pool", Drain: 7}}}}
+	c.SetVacancy(published)
+	require.NoError(t, c.Commit(t.Context(), nil, nil))
+	require.NoError(t, c.Release(t.Context()))
+	assert.Equal(t, published, takeOver(t, store, clock, "b1").PredecessorVacancy())
+}
