Publish the outlook of a shard with its vacancy

Change: the board describes its waiting steps and runs to a Meter in one place, Vacancy, and counts done work; the only shard of a platform publishes the outlook without room. usefulFactor is dotteradmission.UsefulFactor.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // Board is the scheduling state of a shard. It is safe for concurrent use.
@@ -47,6 +48,7 @@
 	excluded    map[dotterjob.ID]bool         // jobs that are left as they are stored
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
+	meter       *dotteradmission.Meter        // of the work done while there is a backlog
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
@@ -60,6 +62,7 @@
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
 		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
+		meter: dotteradmission.NewMeter(),
 	}
 }
 
--- a/internal/job/dotterboard/handover.go
+++ b/internal/job/dotterboard/handover.go
@@ -107,7 +107,15 @@
 			services[name] = s
 		}
 	}
-	return dottervacancy.Vacancy{Published: true, Services: services, Pending: b.pending()}
+	return dottervacancy.Vacancy{Published: true, Services: services, Pending: b.pending(), Outlook: b.outlook(now, wall)}
+}
+
+// VacancyWithoutRoom returns what other hosts need to know of the only shard of a platform:
+// nobody has a choice of shards. The parameters are those of Vacancy.
+func (b *Board) VacancyWithoutRoom(now, wall dotterclock.Millis) dottervacancy.Vacancy {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return dottervacancy.Vacancy{Published: true, Pending: b.pending(), Outlook: b.outlook(now, wall)}
 }
 
 // handOver hands tasks that found no worker over to shards that have room: whole jobs of
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // Renewal returns the next renewal to send to the worker, or false if the worker no longer
@@ -358,6 +359,7 @@
 		return // restarted after any ending
 	}
 	s := t.step
+	b.meter.RecordDone(s.admissionTasks(), dotteradmission.Work(1, s.Size, s.Estimate))
 	t.phase = done
 	s.waiting--
 	s.done++
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // plan is one pass that places the tasks of ready steps on workers.
@@ -43,7 +44,7 @@
 )
 
 // usefulFactor is how many times its objective a job may take and still be of use.
-const usefulFactor = 3
+const usefulFactor = dotteradmission.UsefulFactor
 
 // minEstimateFraction is the fraction of its declared run time that a job takes at least.
 // Declared run times are off by about half, in either direction.
--- a/internal/server/dotterscheduler/owner.go
+++ b/internal/server/dotterscheduler/owner.go
@@ -75,6 +75,7 @@
 	b := dotterboard.New(o.settings.Board, committer.Epoch(), startedAt, committer.PredecessorExpiry(), o.logger)
 	b.SetTimeOfDay(startedAt, wallTime())
 	b.Configure(c.document, c.outDomains)
+	b.AdoptOutlook(startedAt, wallTime(), committer.PredecessorVacancy().Outlook)
 	planChanges, commitChanges := b.Subscribe(), b.Subscribe()
 	revision, err := o.load(ctx, b)
 	if err != nil {
@@ -302,7 +303,7 @@
 // no room, because nobody has a choice.
 func (o shardOwner) vacancy(now dotterclock.Millis, b *dotterboard.Board) dottervacancy.Vacancy {
 	if len(o.elector.Shards()) == 1 {
-		return dottervacancy.Vacancy{Published: true, Pending: b.Pending()}
+		return b.VacancyWithoutRoom(now, wallTime())
 	}
 	return b.Vacancy(now, wallTime())
 }
