--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -18,6 +19,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterlink"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // Errors of a Service.
@@ -68,6 +70,8 @@
 	Board(shard string) *dotterboard.Board
 	// Home chooses the home of a new job, or returns false if no shard is known yet.
 	Home(j dotterjob.Job) (shard string, ok bool)
+	// Admission decides whether a new job is refused under overload.
+	Admission(j dotterjob.Job) dotteradmission.Decision
 }
 
 // StoreHealth tells what this host knows of the store from a watch that it keeps open.
@@ -89,6 +93,10 @@
 	health  StoreHealth
 	failed  atomic.Int64                     // when a call of this service to the store last failed
 	homes   *lru.Cache[dotterjob.ID, string] // last known homes of jobs
+
+	mu       sync.Mutex
+	returns  *dotteradmission.Returns // of callers refused under overload
+	refusals map[Refusal]int64        // under overload
 }
 
 // New returns a service.
@@ -98,7 +106,10 @@
 	if err != nil {
 		panic(err) // only for a size that is not positive
 	}
-	return &Service{store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, health: health, homes: homes}
+	return &Service{
+		store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, health: health, homes: homes,
+		returns: dotteradmission.NewReturns(), refusals: map[Refusal]int64{},
+	}
 }
 
 // StoreUnavailable reports whether the store has not answered for storeUnavailableTimeout.
@@ -113,12 +124,15 @@
 }
 
 // Submit accepts the job durably; a job that was accepted before is left unchanged. Its
-// error is ErrRefused or ErrUnknown.
+// error is ErrRefused, which may be an *OverloadError, or ErrUnknown.
 func (s *Service) Submit(ctx context.Context, j dotterjob.Job) error {
 	shard, ok := s.boards.Home(j)
 	if !ok {
 		return eris.Wrap(ErrRefused, "the shards are not known yet")
 	}
+	if decided, err := s.admit(ctx, j); decided {
+		return err
+	}
 	if !s.StoreUnavailable() {
 		err := s.submitLocally(ctx, shard, j)
 		if !errors.Is(err, ErrRefused) {
--- a/internal/job/dotterentry/service_test.go
+++ b/internal/job/dotterentry/service_test.go
@@ -20,6 +20,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterpartition"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
@@ -54,7 +55,7 @@
 
 func (h fixedHealth) FreshAt() dotterclock.Millis {
 	if h.away {
-		return h.clock.Now() - storeUnavailableTimeout - 1
+		return h.clock.Now() - storeUnavailableTimeout - dotterclock.Second // more than a tick after the caller read the clock
 	}
 	return h.clock.Now()
 }
@@ -67,6 +68,8 @@
 func (oneShard) Board(string) *dotterboard.Board   { return nil }
 func (oneShard) Home(dotterjob.Job) (string, bool) { return "all", true }
 
+func (oneShard) Admission(dotterjob.Job) dotteradmission.Decision { return dotteradmission.Decision{} }
+
 // newTestService returns a service of a host whose owner is at address.
 func newTestService(t *testing.T, store *resettingStore, health fixedHealth, address string) *Service {
 	clock := dotterclock.NewSystem()
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -23,6 +23,7 @@
 	excluded    *prometheus.Desc
 	crashes     *prometheus.Desc
 	panics      *prometheus.Desc
+	overload    *prometheus.Desc
 }
 
 // NewCollector returns a collector for scheduler.
@@ -45,6 +46,7 @@
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
+		overload:    desc("jobs_refused_total", "Submissions that this host refused under overload, by reason.", "queue", "reason"),
 	}
 }
 
@@ -64,6 +66,9 @@
 	document, _ := c.scheduler.Configuration()
 	gauge(c.version, float64(document.Version))
 	gauge(c.age, (c.clock.Now() - c.scheduler.FreshAt()).Seconds())
+	for refusal, n := range c.scheduler.Jobs().Refusals() {
+		counter(c.overload, n, refusal.Queue, string(refusal.Reason))
+	}
 	summaries := c.scheduler.Summaries()
 	gauge(c.owner, float64(len(summaries)))
 	for shard, s := range summaries {
