--- a/internal/job/dotterboard/plan_bench_test.go
+++ b/internal/job/dotterboard/plan_bench_test.go
@@ -70,3 +70,39 @@
 		Size: dotterroom.Room{MilliCores: 7000, MemoryMB: 13_000},
 	}
 }
+
+// BenchmarkOutlook computes the outlook of a pool that is full of serving and filling tasks, every
+// 200 ms, with and without a backlog.
+func BenchmarkOutlook(b *testing.B) {
+	for _, waiting := range []int{0, 300} {
+		b.Run(fmt.Sprintf("workers=490/waiting=%d", waiting), func(b *testing.B) {
+			const workers = 490
+			s := newShard(&testing.T{}, workers)
+			s.board.settings.Admission = true
+			s.run(200)
+			number := 0
+			next := func() int { number++; return number }
+			for i := range workers / 2 {
+				s.submit(next(), dotterjob.Step{
+					Count: 6, LongRunning: true, TailTarget: 50, Image: fmt.Sprintf("s%d", i%5),
+					Size: dotterroom.Room{MilliCores: 13_000, MemoryMB: 26_000},
+				})
+			}
+			s.run(300)
+			for i := range workers / 2 {
+				s.submitTo(lowQueue, next(), benchFillingStep(i, 16))
+			}
+			s.run(1500)
+			for i := range waiting {
+				s.submitTo(lowQueue, next(), benchFillingStep(i, 20))
+			}
+			s.tick()
+			b.ResetTimer()
+			for range b.N {
+				now := s.clock.Now()
+				s.board.VacancyWithoutRoom(now, now)
+				s.clock.Advance(200)
+			}
+		})
+	}
+}
