Merge admission control under overload

Cause: jobs were accepted that could no longer end in time to be of use, and their callers were not told.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // Board is the scheduling state of a shard. It is safe for concurrent use.
@@ -50,6 +51,7 @@
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
 	quota       quota                         // caps of tenants
+	meter       *dotteradmission.Meter        // of the work done while there is a backlog
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
@@ -62,7 +64,7 @@
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
-		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(),
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(), meter: dotteradmission.NewMeter(),
 	}
 }
 
--- a/internal/job/dotterentry/tenants_test.go
+++ b/internal/job/dotterentry/tenants_test.go
@@ -46,8 +46,8 @@
 		answered, missing []string
 		want              []dotterboard.TenantSummary
 	}{
-		"the owner's host":  {owner, []string{"all"}, nil, []dotterboard.TenantSummary{{Tenant: "north", Waiting: 1}}},
-		"another host":      {newHost(t, store, fixedHealth{}, address), []string{"all"}, nil, []dotterboard.TenantSummary{{Tenant: "north", Waiting: 1}}},
+		"the owner's host":  {owner, []string{"all"}, nil, []dotterboard.TenantSummary{{Tenant: "north", Waiting: 1, Allotment: 1}}},
+		"another host":      {newHost(t, store, fixedHealth{}, address), []string{"all"}, nil, []dotterboard.TenantSummary{{Tenant: "north", Waiting: 1, Allotment: 1}}},
 		"the owner is away": {newHost(t, store, fixedHealth{}, "127.0.0.1:1"), nil, []string{"all"}, nil},
 	}
 	for name, tc := range tests {
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -33,6 +33,7 @@
 	beyond      *prometheus.Desc
 	granted     *prometheus.Desc
 	tenants     *prometheus.Desc
+	overload    *prometheus.Desc
 }
 
 const (
@@ -67,6 +68,7 @@
 		beyond:      desc("jobs_beyond_rate_total", "Jobs that went after others, because their tenant has sent more than its rate.", "shard"),
 		granted:     desc("cap_parts_given_total", "Parts of tenants' caps given to other shards.", "shard"),
 		tenants:     desc("tenant", "What tenants use and wait for in the shards that this host owns, by kind.", "tenant", "kind"),
+		overload:    desc("jobs_refused_total", "Submissions that this host refused under overload, by reason.", "queue", "reason"),
 	}
 }
 
@@ -87,6 +89,9 @@
 	gauge(c.version, float64(document.Version))
 	gauge(c.age, (c.clock.Now() - c.scheduler.FreshAt()).Seconds())
 	c.collectTenants(gauge)
+	for refusal, n := range c.scheduler.Jobs().Refusals() {
+		counter(c.overload, n, refusal.Queue, string(refusal.Reason))
+	}
 	summaries := c.scheduler.Summaries()
 	gauge(c.owner, float64(len(summaries)))
 	for shard, s := range summaries {
