Reserve room for large tasks in the jobs' board

Cause: a task that needs nearly a worker waits until enough quick ones happen to end there at the same time. A worker's reserved room is the obstacle Reserved. A log line and Counters.Reservations tell what becomes of each.

--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Board is the scheduling state of a shard. It is safe for concurrent use.
@@ -49,6 +50,9 @@
 	closures    []closure                     // of the last closureRetention
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
+	ahead    map[string]*dotterlookahead.Book // room reserved for large tasks, by service
+	aheadLog reservationLog
+
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
 }
 
@@ -59,7 +63,7 @@
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
-		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, ahead: map[string]*dotterlookahead.Book{},
 	}
 }
 
--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Counters counts a board's decisions and their results since its owner took over.
@@ -22,6 +23,8 @@
 	Crashes        int64 // crashes of workers that were counted against a task
 	HandedOver     int64 // tasks handed over to other shards
 	Absorbed       int64 // tasks taken from other shards
+
+	Reservations map[dotterlookahead.Outcome]int64 // of room for large tasks, by what became of them
 }
 
 func newCounters() Counters {
@@ -29,6 +32,8 @@
 		Refused:  map[dotterrun.Refusal]int64{},
 		Endings:  map[dotterrun.Ending]int64{},
 		Outcomes: map[dotterjob.State]int64{},
+
+		Reservations: map[dotterlookahead.Outcome]int64{},
 	}
 }
 
@@ -81,6 +86,7 @@
 
 func (c Counters) clone() Counters {
 	c.Refused, c.Endings, c.Outcomes = maps.Clone(c.Refused), maps.Clone(c.Endings), maps.Clone(c.Outcomes)
+	c.Reservations = maps.Clone(c.Reservations)
 	return c
 }
 
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // smallestClassMilliCores is the upper bound of the smallest size class, in thousandths of a
@@ -62,6 +63,8 @@
 	remainingPath dotterclock.Millis // declared length of the critical path that begins with this step
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
+	position      int                // in the order of the last plan with look-ahead
+	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
 }
 
--- a/internal/job/dotterboard/place.go
+++ b/internal/job/dotterboard/place.go
@@ -83,12 +83,13 @@
 	blockedRack                // outside the rack on which the gang is being placed
 	blockedKept                // the free room is kept from new long-running tasks
 	blockedTrial               // has a run on trial
+	blockedReserved            // the free room is reserved for a large task
 	blockedLoad                // a serving task there would exceed its load limit
 	obstacleKinds              // number of obstacles
 )
 
 // obstacleNames are the names of the obstacles in logs.
-var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Trial", "Load"}
+var obstacleNames = [obstacleKinds]string{"None", "Room", "Processor", "Worker", "Trust", "PerWorker", "Ticket", "Rack", "Kept", "Trial", "Reserved", "Load"}
 
 // obstacle returns why the worker gets no task of the step, or noObstacle. blockedLoad
 // is left to score.
@@ -111,6 +112,8 @@
 		return blockedTicket
 	case s.Gang && s.RackSensitive && p.rack != "" && w.Rack != p.rack:
 		return blockedRack
+	case p.ahead.withholds(w, s):
+		return blockedReserved
 	}
 	return noObstacle
 }
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -16,6 +16,7 @@
 	workers map[string][]*worker // by service
 	unused  map[string]float64   // by service: see unusedFraction
 	all     []candidate
+	ahead   *lookAhead
 	rack    string // on which a rack-sensitive gang is being placed; empty: any
 }
 
@@ -74,6 +75,7 @@
 	}
 	b.backlog = p.backlog(candidates)
 	p.unblock()
+	b.containShared("look-ahead", func() { p.ahead = p.newLookAhead(candidates) })
 	next := now + replanInterval
 	for _, c := range candidates {
 		b.contain(c.step.occurrence.job.ID, func() { next = min(next, p.attempt(c.step)) })
@@ -95,7 +97,8 @@
 	if p.place(s) {
 		return again
 	}
-	key := keyOf(s)
+	p.ahead.reserve(s)
+	key := p.keyOf(s)
 	p.board.blocked[key] = append(p.board.blocked[key], blockedSize{size: s.Size, until: p.now + blockedDuration(s)})
 	return min(again, p.now+blockedDuration(s))
 }
@@ -141,6 +144,7 @@
 type blockedKey struct {
 	service, image, label, rack string
 	fills                       bool
+	ahead                       aheadKey
 	exclusive                   *step // set for a step whose placement depends on its own state; it shares its key with no other
 }
 
@@ -177,7 +181,7 @@
 	if len(p.board.blocked) == 0 {
 		return false
 	}
-	for _, b := range p.board.blocked[keyOf(s)] {
+	for _, b := range p.board.blocked[p.keyOf(s)] {
 		if b.size.Fits(s.Size) {
 			return true
 		}
@@ -356,6 +360,7 @@
 		k.placed(p.now, t, w.free().MilliCores)
 	}
 	p.board.bind(t, w)
+	p.ahead.placed(t, w)
 	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
 }
--- a/internal/job/dotterboard/settings.go
+++ b/internal/job/dotterboard/settings.go
@@ -9,6 +9,7 @@
 	RetentionDuration dotterclock.Millis // how long a job stays visible after its final state
 	DirectoryGrace    dotterclock.Millis // how long a live worker may be missing from the directory
 	RemoteSlowdown    float64            // run time off the data's rack divided by the run time on it
+	LookAhead         bool               // whether room is reserved for large tasks that small ones would keep waiting
 }
 
 const (
