Use look-ahead placement for the reservations and claims of tasks

Cause: the tasks' owner had its own reservations and claims, a second copy of what dotterlookahead does. Choosing tasks to evict stays in claim.go, when a task counts as overtaken is in overtaken.go. Limits.Earliest keeps its choice of workers. Result: its tests pass unchanged.

--- a/internal/placement/dotterlookahead/book.go
+++ b/internal/placement/dotterlookahead/book.go
@@ -15,6 +15,7 @@
 	MinWait        dotterclock.Millis // shortest wait before a reservation: most tasks find room by then
 	MaxHold        dotterclock.Millis // longest time of a reservation
 	MaxIdle        dotterclock.Millis // longest time for which the holder may leave the room unused once it fits
+	Earliest       bool               // choose workers by the time of the room alone, not by what is withheld until then
 	FragmentedOnly bool               // no reservation where the room fits already or one end alone frees it
 }
 
--- a/internal/placement/dotterlookahead/plan.go
+++ b/internal/placement/dotterlookahead/plan.go
@@ -249,6 +249,16 @@
 	return min(f.latest+limits.MaxIdle, p.now+limits.MaxHold)
 }
 
+// cost returns the time until the worker has the room, plus the time for which an equal room
+// would be withheld: of two workers that have it at the same time, the one whose tasks end together
+// withholds less.
+func (p *Plan) cost(f forecast) float64 {
+	if p.book.limits.Earliest {
+		return float64(f.at - p.now)
+	}
+	return float64(f.at-p.now) + f.idle
+}
+
 // expected is a worker and when it is predicted to have room.
 type expected struct {
 	room     *room
@@ -272,8 +282,8 @@
 		if f.at == Never || f.at > latestStart {
 			continue
 		}
-		at, _ := slices.BinarySearchFunc(found, f.cost(p.now), func(e expected, cost float64) int {
-			return cmp.Or(cmp.Compare(e.forecast.cost(p.now), cost), -1) // after those of the same cost
+		at, _ := slices.BinarySearchFunc(found, p.cost(f), func(e expected, cost float64) int {
+			return cmp.Or(cmp.Compare(p.cost(e.forecast), cost), -1) // after those of the same cost
 		})
 		if at < count {
 			found = slices.Insert(found, at, expected{room: r, forecast: f})
--- a/internal/placement/dotterlookahead/worker.go
+++ b/internal/placement/dotterlookahead/worker.go
@@ -46,13 +46,6 @@
 	idle     float64            // room that is withheld until then, in parts of the size times ms
 }
 
-// cost returns the time until the worker has the room, plus the time for which an equal room
-// would be withheld: of two workers that have it at the same time, the one whose tasks end together
-// withholds less.
-func (f forecast) cost(now dotterclock.Millis) float64 {
-	return float64(f.at-now) + f.idle
-}
-
 // load fills in the holders.
 func (r *room) load() {
 	if r.loaded {
--- a/internal/placement/dotterplacer/place.go
+++ b/internal/placement/dotterplacer/place.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Reasons for an assignment, as shown in the decision log, or for finding no
@@ -31,13 +32,13 @@
 	size := r.roomFor(t)
 	avoidInterference := !t.Critical && !t.Urgent && !r.overtaken(t, r.interferenceDelay())
 	s := shape{template: t.Template, size: size, urgent: t.Urgent, avoidInterference: avoidInterference}
-	if (r.isUnplaceable(s) && !r.hasClaimOrReservation(t.ID)) || !r.shares.Allows(t.Team, size) {
+	if (r.isUnplaceable(s) && !r.placer.book.Holds(dotterlookahead.ID(t.ID))) || !r.shares.Allows(t.Team, size) {
 		return false
 	}
 	avoidedWorkers := r.avoidedWorkers(t.ID)
-	w, reason := r.bestWorker(t, size, avoidInterference, avoidedWorkers)
-	if w != nil {
-		r.assign(t, size, w, reason)
+	i, reason := r.bestWorker(t, size, avoidInterference, avoidedWorkers)
+	if i >= 0 {
+		r.assign(t, size, i, reason)
 		return true
 	}
 	if t.Urgent {
@@ -94,27 +95,17 @@
 	return r.unplaceable[s] || r.placer.interferingShapes[s.withoutSize()]
 }
 
-// hasClaimOrReservation reports whether the task id holds a claim or a
-// reservation.
-func (r *round) hasClaimOrReservation(id dottertask.ID) bool {
-	if _, ok := r.placer.claims[id]; ok {
-		return true
-	}
-	_, ok := r.placer.reservations[id]
-	return ok
-}
-
-// bestWorker returns the worker with the lowest cost for t and the reason of
-// the choice, or nil and the reason why there is none. With avoidInterference,
+// bestWorker returns the index of the worker with the lowest cost for t and the reason of
+// the choice, or -1 and the reason why there is none. With avoidInterference,
 // it skips workers on which t would interfere.
-func (r *round) bestWorker(t dottertask.Task, size dotterroom.Room, avoidInterference bool, avoidedWorkers []string) (*worker, string) {
+func (r *round) bestWorker(t dottertask.Task, size dotterroom.Room, avoidInterference bool, avoidedWorkers []string) (int, string) {
 	c := r.candidate(t, size)
 	expectedEnd := r.state.Now + r.expectedRunTime(t)
-	var best *worker
+	best := -1
 	lowest, reason, refusal := 0.0, "", reasonNoRoom
 	for i := range r.workers {
 		w := &r.workers[i]
-		if !r.accepts(w, t, size, expectedEnd) || slices.Contains(avoidedWorkers, w.host.Name) {
+		if !r.accepts(i, t, size, expectedEnd) || slices.Contains(avoidedWorkers, w.host.Name) {
 			continue
 		}
 		r.scoredPairs++
@@ -123,24 +114,25 @@
 			refusal = reasonInterferenceEverywhere
 			continue
 		}
-		if best == nil || cost < lowest {
-			best, lowest = w, cost
-			reason = r.assignmentReason(t, w, interferes)
+		if best < 0 || cost < lowest {
+			best, lowest = i, cost
+			reason = r.assignmentReason(t, i, interferes)
 		}
 	}
-	if best == nil {
-		return nil, refusal
+	if best < 0 {
+		return -1, refusal
 	}
 	return best, reason
 }
 
-func (r *round) assignmentReason(t dottertask.Task, w *worker, interferes bool) string {
+func (r *round) assignmentReason(t dottertask.Task, i int, interferes bool) string {
+	w, id := &r.workers[i], dotterlookahead.ID(t.ID)
 	switch {
 	case w.probeOnly:
 		return reasonProbe
-	case t.Urgent && r.placer.claims[t.ID].worker == w.host.Name:
+	case t.Urgent && r.placer.book.ClaimsOn(id, w.host.Name):
 		return reasonClaim
-	case w.reservation != nil && w.reservation.task == t.ID:
+	case r.ahead.HasReservation(i, id):
 		return reasonReservation
 	case interferes:
 		return reasonAfterWait
@@ -149,40 +141,28 @@
 }
 
 // accepts reports whether t of the given size, expected to end at expectedEnd,
-// may be placed on w.
-func (r *round) accepts(w *worker, t dottertask.Task, size dotterroom.Room, expectedEnd dotterclock.Millis) bool {
+// may be placed on the worker with index i.
+func (r *round) accepts(i int, t dottertask.Task, size dotterroom.Room, expectedEnd dotterclock.Millis) bool {
+	w := &r.workers[i]
 	if !w.usable || w.startsLeft <= 0 || !size.Fits(w.free) {
 		return false
 	}
 	if w.probeOnly && (t.Critical || t.Urgent || !t.Repeatable) {
 		return false
 	}
-	if !r.leavesClaims(w, t, size) {
-		return false
-	}
-	return t.Urgent || t.Critical || w.leavesReservation(t, size, expectedEnd)
-}
-
-// leavesReservation reports whether placing t on w doesn't delay the task that
-// holds the reservation of w.
-func (w *worker) leavesReservation(t dottertask.Task, size dotterroom.Room, expectedEnd dotterclock.Millis) bool {
-	if w.reservation == nil || w.reservation.task == t.ID {
-		return true
-	}
-	return expectedEnd <= w.reservation.availableAt || size.Fits(w.reservation.leftover)
+	return !r.ahead.Withholds(i, dotterlookahead.Candidate{
+		ID: dotterlookahead.ID(t.ID), Size: size, Latest: expectedEnd, Exempt: t.Urgent || t.Critical,
+	})
 }
 
-// assign adds the assignment of t to w to the plan, and updates the round.
-func (r *round) assign(t dottertask.Task, size dotterroom.Room, w *worker, reason string) {
+// assign adds the assignment of t to the worker with index i to the plan, and updates the round.
+func (r *round) assign(t dottertask.Task, size dotterroom.Room, i int, reason string) {
+	w := &r.workers[i]
 	r.applyPlacement(r.candidate(t, size), w)
 	w.allocate(size)
 	w.startsLeft--
-	if w.reservation != nil {
-		w.reservation.leftover = w.reservation.leftover.Sub(size)
-	}
 	r.placer.observePlacedSubmitTime(t.SubmittedAt)
-	r.dropClaim(t.ID)
-	r.dropReservation(t.ID)
+	r.ahead.Place(i, dotterlookahead.ID(t.ID), size, 0)
 	r.shares.Add(t.Team, size)
 	r.plan.Assignments = append(r.plan.Assignments, dotterplan.Assignment{
 		Task:   t.ID,
--- a/internal/placement/dotterplacer/placer.go
+++ b/internal/placement/dotterplacer/placer.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterattribution"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 const (
@@ -35,8 +36,7 @@
 	effects           *effects
 	attempts          map[dottertask.ID]*attempt
 	histories         map[string]*history
-	claims            map[dottertask.ID]claim
-	reservations      map[dottertask.ID]string // worker on which the task has a reservation
+	book              *dotterlookahead.Book // claims of urgent tasks, and reservations
 	evictedAt         map[dottertask.ID]dotterclock.Millis
 	interferingShapes map[shape]bool // would interfere on every worker with room, by the cached predictions
 	evictions         *budget
@@ -56,8 +56,7 @@
 		effects:           newEffects(options.Models.Interference),
 		attempts:          make(map[dottertask.ID]*attempt),
 		histories:         make(map[string]*history),
-		claims:            make(map[dottertask.ID]claim),
-		reservations:      make(map[dottertask.ID]string),
+		book:              dotterlookahead.NewBook(dotterlookahead.Limits{Earliest: true}),
 		evictedAt:         make(map[dottertask.ID]dotterclock.Millis),
 		interferingShapes: make(map[shape]bool),
 		evictions:         newBudget(options.EvictionsPerMinute, options.EvictionBurst),
@@ -76,6 +75,7 @@
 	r.endExhausted()
 	r.controlInterference()
 	r.placeQueue()
+	p.book.TakeEvents() // the plan's assignments tell what has become of reservations
 	p.sweep(state.Now)
 	return r.plan
 }
--- a/internal/placement/dotterplacer/queue.go
+++ b/internal/placement/dotterplacer/queue.go
@@ -70,8 +70,7 @@
 
 // placeQueue places queued tasks by rank, urgency, fair share and age.
 func (r *round) placeQueue() {
-	r.applyClaims()
-	r.applyReservations()
+	r.beginLookAhead()
 	for _, c := range priorityClasses(r.state.Queue) {
 		r.placeClass(c)
 	}
--- a/internal/placement/dotterplacer/round.go
+++ b/internal/placement/dotterplacer/round.go
@@ -1,8 +1,6 @@
 package dotterplacer
 
 import (
-	"slices"
-
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterconfig"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
@@ -10,6 +8,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterfairshare"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterinterference"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // round is the working state of one call of Plan.
@@ -23,10 +22,11 @@
 	shares         *dotterfairshare.Shares
 	unplaceable    map[shape]bool // shapes for which no worker was found in this round
 	ended          map[dottertask.ID]bool
-	capacity       float64 // cores of all workers
-	throttledCores float64 // cores withheld by throttles
-	scoredPairs    int     // pairs of task and worker that were scored
-	roomShortage   bool    // a task was not placed for lack of room
+	capacity       float64               // cores of all workers
+	throttledCores float64               // cores withheld by throttles
+	scoredPairs    int                   // pairs of task and worker that were scored
+	roomShortage   bool                  // a task was not placed for lack of room
+	ahead          *dotterlookahead.Plan // claimed and reserved room; its workers are those of the round
 	plan           dotterplan.Plan
 }
 
@@ -231,12 +231,3 @@
 		Accelerators: min(a.Accelerators, b.Accelerators),
 	}
 }
-
-// worker returns the named worker, or nil.
-func (r *round) worker(name string) *worker {
-	index := slices.IndexFunc(r.workers, func(w worker) bool { return w.host.Name == name })
-	if index < 0 {
-		return nil
-	}
-	return &r.workers[index]
-}
--- a/internal/placement/dotterplacer/worker.go
+++ b/internal/placement/dotterplacer/worker.go
@@ -1,11 +1,9 @@
 package dotterplacer
 
 import (
-	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterhost"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterplan"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
-	"github.com/dotterelusher/dotterelusher/internal/model/dottertask"
 )
 
 // worker is the state of one worker within a round.
@@ -17,8 +15,6 @@
 	probeOnly   bool            // quarantined; may get one task as a probe when usable
 	startsLeft  int             // starts that may still be made before one is confirmed
 	free        dotterroom.Room // room held by nothing
-	claimed     dotterroom.Room // room claimed by urgent tasks, free or being freed
-	reservation *reservation
 	groups      []group
 }
 
@@ -33,14 +29,6 @@
 	slowdown float64 // predicted; upper bound for latency-critical tasks
 }
 
-// reservation promises the room that a task needs on a worker from a given
-// time.
-type reservation struct {
-	task        dottertask.ID
-	availableAt dotterclock.Millis
-	leftover    dotterroom.Room // room expected to be left beside the task at that time
-}
-
 // group returns the group of the template with index id, and adds it if needed.
 func (w *worker) group(id int) *group {
 	for i := range w.groups {
