Show reservations for large tasks to operators

Cause: operators must see why a task waits beside free room, and whether the reservations are of use.

--- a/internal/job/dotterboard/look_ahead_test.go
+++ b/internal/job/dotterboard/look_ahead_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
@@ -261,6 +263,20 @@
 	s.requireNoViolations()
 }
 
+// TestReservationLinesAreBounded guards against a flood of log lines when many reservations change.
+func TestReservationLinesAreBounded(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	b := New(testSettings, 1, 0, 0, zap.New(core))
+	for i := range 5 * maxReservationLines {
+		b.logReservation(dotterclock.Millis(1000+i), testService, 1, dotterlookahead.Event{Outcome: dotterlookahead.Made})
+	}
+	assert.Equal(t, maxReservationLines, logs.Len())
+	b.logReservation(1000+reservationLogInterval, testService, 1, dotterlookahead.Event{Outcome: dotterlookahead.Used})
+	last := logs.All()[logs.Len()-1].ContextMap()
+	assert.EqualValues(t, 4*maxReservationLines, last["LinesOmitted"])
+	assert.Equal(t, "Used", last["Outcome"])
+}
+
 // TestPredictedRunTimes guards against predictions that trust declared run times although the board
 // knows better.
 func TestPredictedRunTimes(t *testing.T) {
--- a/internal/placement/dotterlookahead/book.go
+++ b/internal/placement/dotterlookahead/book.go
@@ -43,6 +43,9 @@
 	Expired  Outcome = "Expired"  // held until Reservation.Until
 )
 
+// Outcomes lists all outcomes.
+var Outcomes = []Outcome{Made, Used, Released, Expired}
+
 // Event is a change of a reservation.
 type Event struct {
 	Outcome     Outcome
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dotterelusher/dotterelusher"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Collector exports a scheduler's state as metrics.
@@ -22,6 +23,7 @@
 	transferred *prometheus.Desc
 	excluded    *prometheus.Desc
 	crashes     *prometheus.Desc
+	reserved    *prometheus.Desc
 	panics      *prometheus.Desc
 }
 
@@ -43,6 +45,7 @@
 		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
+		reserved:    desc("reservations_total", "Reservations of room for large tasks, by what became of them.", "shard", "outcome"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
 	}
@@ -89,6 +92,9 @@
 		counter(c.transferred, s.Absorbed, shard, "Received")
 		counter(c.excluded, s.Excluded, shard)
 		counter(c.crashes, s.Crashes, shard)
+		for _, outcome := range dotterlookahead.Outcomes {
+			counter(c.reserved, s.Reservations[outcome], shard, string(outcome))
+		}
 		counter(c.panics, s.Panics, shard)
 	}
 }
