--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterrelief"
 )
 
@@ -27,6 +28,8 @@
 	Granted        int64                       // parts of tenants' caps given to other shards
 	Held           int64                       // steps that the cap of their tenant has held
 	Beyond         int64                       // jobs that went after others because of the rates of their tenants
+
+	Reservations map[dotterlookahead.Outcome]int64 // of room for large tasks, by what became of them
 }
 
 func newCounters() Counters {
@@ -35,6 +38,8 @@
 		Endings:  map[dotterrun.Ending]int64{},
 		Outcomes: map[dotterjob.State]int64{},
 		Relief:   map[dotterrelief.Kind]int64{},
+
+		Reservations: map[dotterlookahead.Outcome]int64{},
 	}
 }
 
@@ -87,6 +92,7 @@
 
 func (c Counters) clone() Counters {
 	c.Refused, c.Endings, c.Outcomes, c.Relief = maps.Clone(c.Refused), maps.Clone(c.Endings), maps.Clone(c.Outcomes), maps.Clone(c.Relief)
+	c.Reservations = maps.Clone(c.Reservations)
 	return c
 }
 
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
@@ -75,6 +76,8 @@
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
 	imageNumber   int                // of its image in Board.slopes; 0: none yet
+	position      int                // in the order of the last plan with look-ahead
+	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
 }
 
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelusher/dotterelusher"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Collector exports a scheduler's state as metrics.
@@ -28,6 +29,7 @@
 	excluded    *prometheus.Desc
 	relief      *prometheus.Desc
 	crashes     *prometheus.Desc
+	reserved    *prometheus.Desc
 	panics      *prometheus.Desc
 	held        *prometheus.Desc
 	beyond      *prometheus.Desc
@@ -62,6 +64,7 @@
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
 		relief:      desc("relief_actions_total", "Orders to filling tasks for serving tasks beside them and restarts of serving tasks, by action.", "shard", "action"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
+		reserved:    desc("reservations_total", "Reservations of room for large tasks, by what became of them.", "shard", "outcome"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
 		panics:      desc("panics_contained_total", "Contained panics that belong to no single job.", "shard"),
 		held:        desc("steps_held_total", "Steps of which the cap of their tenant has held tasks.", "shard"),
@@ -120,6 +123,9 @@
 		counter(c.transferred, s.Absorbed, shard, "Received")
 		counter(c.excluded, s.Excluded, shard)
 		counter(c.crashes, s.Crashes, shard)
+		for _, outcome := range dotterlookahead.Outcomes {
+			counter(c.reserved, s.Reservations[outcome], shard, string(outcome))
+		}
 		counter(c.panics, s.Panics, shard)
 		counter(c.held, s.Held, shard)
 		counter(c.beyond, s.Beyond, shard)
