--- a/cmd/dotterscheduler/main.go
+++ b/cmd/dotterscheduler/main.go
@@ -33,6 +33,10 @@
 	Settings string `long:"settings" value-name:"FILE" description:"settings file; the default is named by the variable DOTTERELUSHER_BOOT"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Metrics  int    `long:"metrics" value-name:"PORT" default:"9464" description:"port of the metrics"`
+
+	Admission  bool `long:"admission" description:"refuse jobs that cannot end usefully because of what waits"`
+	LookAhead  bool `long:"look-ahead" description:"reserve room for large tasks that small ones would keep waiting"`
+	WeighStops bool `long:"weigh-stops" description:"slow filling tasks down rather than stopping them, where a stop costs 1.2 s or more"`
 }
 
 func main() {
@@ -52,6 +56,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
+	settings = settings.WithFeatures(platform.Features{Admission: o.Admission, LookAhead: o.LookAhead, WeighStops: o.WeighStops})
 	if o.Check {
 		return
 	}
