Acknowledge ends of closed jobs, and keep the body of jobs with ignored ends

Cause, found by review: after a takeover an end of a cancelled or failed job whose body is no longer stored was never acknowledged and held back all later ends of its worker; and an end of a completed job that the predecessor had ignored, since the task had started again, would have been acknowledged. Change: a job with an ignored end keeps its body, and all ends of closed jobs are acknowledged.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 unit:
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known failure, skipped: /' || true
 	$(GO) test -count=1 -timeout 20m $(if $(RED),-skip '^($(RED))$$') ./...
+	$(GO) test -run "^$$$$" -bench BenchmarkPlan -benchtime 20x ./internal/placement/dotterlookahead
 
 model:
 	@if [ -x spec/run.sh ]; then spec/run.sh; fi
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -40,6 +40,7 @@
 	leaving         bool               // all of it was handed over, which is not stored yet
 	stored          bool               // the job itself is stored under this shard
 	closed          bool               // the job itself is no longer stored, only its outcome
+	ignoredEnd      bool               // an end of its runs was ignored: see handleEnd
 	dirty           bool               // in Board.dirty
 	starts          []*task            // bound since the last batch
 	ends            []*end             // received since the last batch
@@ -75,7 +76,8 @@
 	remainingPath dotterclock.Millis // declared length of the critical path that begins with this step
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
-	imageNumber   int                // of its image in Board.slopes; 0: none yet
+	imageNumber   int                // of its image in Board.slopes
+	imageEpoch    int                // of Board.slopes, for which imageNumber holds
 	position      int                // in the order of the last plan with look-ahead
 	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
@@ -137,10 +139,11 @@
 	return dotterjob.Queued
 }
 
-// canClose reports whether only the job's outcome needs to be stored: it is final, and no run or
-// other shard can refer to its steps any more.
+// canClose reports whether only the job's outcome needs to be stored: it is final, no run or
+// other shard can refer to its steps any more, and a successor may acknowledge all ends of its
+// runs.
 func (j *job) canClose() bool {
-	return j.outcome != "" && j.runs == 0 && j.away == 0 && !j.visiting && !j.leaving
+	return j.outcome != "" && j.runs == 0 && j.away == 0 && !j.visiting && !j.leaving && !j.ignoredEnd
 }
 
 // closeAccount returns the time account of the job, which is decided now, as log fields.
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -277,7 +277,7 @@
 	w.unacknowledged = append(w.unacknowledged, pending)
 	b.counters.Endings[e.Ending]++
 	t := b.find(e.Ref.Task)
-	if t == nil && b.isClosedAsCompleted(e.Ref.Task.Job) {
+	if j, ok := b.jobs[e.Ref.Task.Job]; t == nil && ok && j.closed {
 		pending.stored = true // the predecessor has stored its effect
 		return
 	}
@@ -295,7 +295,7 @@
 		// The run was taken for lost and the task was started again, but nothing shows
 		// that the lease had expired first. The end has no effect. It is not acknowledged
 		// before the lease has expired, because an acknowledged end counts as the task's.
-		pending.ignored = true
+		pending.ignored, j.ignoredEnd = true, true
 		b.logger.Warn("ignoring the end of a run that was taken for lost", b.runFields(t, zap.Int("EndedRun", e.Ref.Run), zap.String("EndedOn", w.ID))...)
 		return
 	}
@@ -318,13 +318,6 @@
 	}
 }
 
-// isClosedAsCompleted reports whether only the outcome of the job is known, and all its tasks
-// were done.
-func (b *Board) isClosedAsCompleted(id dotterjob.ID) bool {
-	j, ok := b.jobs[id]
-	return ok && j.closed && j.outcome == dotterjob.Completed
-}
-
 // endRun processes the end of a task's current run.
 func (b *Board) endRun(now dotterclock.Millis, w *worker, t *task, ending dotterrun.Ending) {
 	if ending != dotterrun.Done || t.job().outcome != "" {
--- a/internal/job/dotterboard/look_ahead.go
+++ b/internal/job/dotterboard/look_ahead.go
@@ -202,7 +202,7 @@
 		v = a.begin(service, book, p.all)
 	}
 	v.Reserve(dotterlookahead.Request{
-		ID: s.lookAheadID(), Size: s.Reserved(), Count: s.waiting, Order: s.position, Since: s.waitingSince,
+		ID: s.lookAheadID(), Size: s.Reserved(), Count: min(s.waiting, p.left), Order: s.position, Since: s.waitingSince,
 		StartBy: a.startBy(s), Max: limit,
 		Allowed: func(i int) bool {
 			return p.obstacle(p.load(p.workers[service][i]), s, dotterroom.Room{}) == noObstacle
--- a/internal/job/dotterboard/recovery_test.go
+++ b/internal/job/dotterboard/recovery_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterrelief"
 )
 
@@ -158,3 +159,50 @@
 	assert.Empty(t, s.board.jobs)
 	s.requireNoViolations()
 }
+
+// TestEndsOfClosedJobsAreAcknowledged guards against an end of a cancelled job that a successor
+// never acknowledges, because only the job's outcome is stored, and that holds back all later
+// ends of its worker.
+func TestEndsOfClosedJobsAreAcknowledged(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	id := s.submit(1, tasks(1, 300))
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 1 })
+	s.run(250)
+	s.board.Cancel(s.clock.Now(), id, Cancellation{}) // about when the run ends
+	s.until(2000, func() bool { return len(s.workersOf(id)) == 0 && len(s.accepted) == 0 })
+	w := s.board.workersByID[0]
+	end := dotterrun.End{Ref: dotterrun.Ref{Task: firstTask(id), Run: 1}, Number: w.lastEnd + 1, Ending: dotterrun.Done}
+	s.takeOver(0)
+	s.run(300)
+	w = s.board.workersByID[0]
+	end.Number = max(end.Number, w.lastEnd+1)
+	s.board.mu.Lock()
+	s.board.handleEnd(s.clock.Now(), w, end, false)
+	w.advanceAck()
+	s.board.mu.Unlock()
+	assert.Empty(t, w.unacknowledged)
+	assert.Equal(t, end.Number, w.ackUntil)
+}
+
+// TestJobWithIgnoredEndKeepsItsBody guards against a successor that acknowledges an end which its
+// predecessor ignored because the task had been started again.
+func TestJobWithIgnoredEndKeepsItsBody(t *testing.T) {
+	s := newShard(t, 2)
+	s.run(200)
+	id := s.submit(1, tasks(1, 600))
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 1 })
+	s.run(100)
+	running := s.board.find(firstTask(id))
+	other := s.board.workersByID[0]
+	if other == running.worker {
+		other = s.board.workersByID[1]
+	}
+	s.board.mu.Lock()
+	earlier := dotterrun.End{Ref: dotterrun.Ref{Task: firstTask(id), Run: running.run - 1}, Number: other.lastEnd + 1, Ending: dotterrun.Done}
+	s.board.handleEnd(s.clock.Now(), other, earlier, false)
+	s.board.mu.Unlock()
+	s.until(3000, s.stateIs(id, dotterjob.Completed))
+	s.run(300)
+	assert.Len(t, s.accepted, 1, "the body tells a successor that the end must not be acknowledged")
+}
