Refuse gangs larger than their tenant's cap

Cause: dotterquota.FitsCap tells a gang that can never start under the cap of its tenant, but no host asked it. Such a job was accepted, waited until three times its objective and then failed.

Log line "job refused, larger than cap" with the gang, the cap and the version; reason LargerThanCap in dotterelusher_jobs_refused_total. A job that was accepted before, or of which the host cannot read whether it was, is not refused; nor is one that is forwarded because the store is away. A task larger than the cap is still accepted and runs alone.

--- a/internal/job/dotterentry/overload.go
+++ b/internal/job/dotterentry/overload.go
@@ -11,10 +11,16 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
-// OverloadError is the refusal of a job that certainly could not end in time. It is an
-// ErrRefused.
+// capRetryAfter is what the caller of a job with a gang larger than its tenant's cap is told to
+// wait. Only a version with a higher cap lets the job start, and when there will be one is not
+// known: it is the longest delay that callers are told.
+const capRetryAfter = 60 * dotterclock.Second
+
+// OverloadError is the refusal of a job that certainly could not end in time, or never start. It
+// is an ErrRefused.
 type OverloadError struct {
 	Reason     dotteradmission.Reason
 	RetryAfter dotterclock.Millis // whole seconds
@@ -22,8 +28,11 @@
 
 // Error implements error.
 func (e *OverloadError) Error() string {
-	if e.Reason == dotteradmission.TenantCap {
+	switch e.Reason {
+	case dotteradmission.TenantCap:
 		return fmt.Sprintf("jobs: refused, the job could not end in time within its tenant's cap; retry in %d ms", e.RetryAfter)
+	case dotteradmission.LargerThanCap:
+		return fmt.Sprintf("jobs: refused, a gang of the job is larger than its tenant's cap; retry in %d ms", e.RetryAfter)
 	}
 	return fmt.Sprintf("jobs: refused, the job could not end in time behind those that wait; retry in %d ms", e.RetryAfter)
 }
@@ -39,24 +48,36 @@
 	Reason dotteradmission.Reason
 }
 
-// Refusals returns how many submissions this host has refused for overload.
+// Refusals returns how many submissions this host has refused for overload or
+// because of the cap of their tenant.
 func (s *Service) Refusals() map[Refusal]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.refusals)
 }
 
-// admit returns an *OverloadError if the submission is refused under overload. A job that was
-// accepted before is left to the submission itself, and a host that cannot tell whether it was
-// does not refuse it.
+// admit returns an *OverloadError if the submission is refused under overload, or because the job
+// could never start under the cap of its tenant. A job that was accepted before is left to the
+// submission itself, and a host that cannot tell whether it was does not refuse it.
 func (s *Service) admit(ctx context.Context, j dotterjob.Job) error {
+	limit, version := s.boards.TenantCap(j.Tenant)
+	fits := dotterquota.FitsCap(limit, j)
 	d := s.boards.Admission(j)
-	if !d.Refused || s.StoreUnavailable() {
+	if fits && !d.Refused || s.StoreUnavailable() {
 		return nil
 	}
 	if _, _, err := s.readHome(ctx, j.ID); !errors.Is(err, ErrNoJob) {
 		return nil
 	}
+	if !fits {
+		s.mu.Lock()
+		s.refusals[Refusal{Queue: j.Queue, Reason: dotteradmission.LargerThanCap}]++
+		s.mu.Unlock()
+		s.logger.Info("job refused, larger than cap", zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue), zap.String("Tenant", j.Tenant),
+			zap.String("Reason", string(dotteradmission.LargerThanCap)), zap.Stringer("LargestGang", dotterquota.LargestGang(limit, j)), zap.Stringer("Cap", limit),
+			zap.Int64("Version", version), zap.Int64("RetryAfterMs", int64(capRetryAfter)))
+		return &OverloadError{Reason: dotteradmission.LargerThanCap, RetryAfter: capRetryAfter}
+	}
 	s.mu.Lock()
 	retryAfter := s.returns.Next(s.clock.Now(), d)
 	s.refusals[Refusal{Queue: j.Queue, Reason: d.Reason}]++
--- a/internal/job/dotterentry/overload_test.go
+++ b/internal/job/dotterentry/overload_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
@@ -84,3 +85,80 @@
 		})
 	}
 }
+
+// capped is a host whose configuration has a cap of 10 cores for the tenant north.
+type capped struct{ oneShard }
+
+func (capped) TenantCap(tenant string) (dotterroom.Room, int64) {
+	if tenant != "north" {
+		return dotterroom.Room{}, 7
+	}
+	return dotterroom.Room{MilliCores: 10_000}, 7
+}
+
+// TestGangLargerThanCapIsRefused guards against accepting a gang that can never start, whose
+// caller would learn of it only when the job has failed, and against the refusal of a job that
+// can start or that was accepted before the cap was lowered.
+func TestGangLargerThanCapIsRefused(t *testing.T) {
+	gang := func(count int) []dotterjob.Step {
+		return []dotterjob.Step{{Count: 1, Estimate: 100}, {Count: count, Gang: true, Estimate: 100, Size: dotterroom.Room{MilliCores: 4000}}}
+	}
+	lasting := gang(3)
+	lasting[1].LongRunning = true
+	tests := map[string]struct {
+		steps   []dotterjob.Step
+		tenant  string // empty: none
+		blind   bool   // the store does not answer reads
+		before  bool   // the job was accepted before
+		refused bool
+		commits int64
+	}{
+		"a gang within the cap":           {steps: gang(2), tenant: "north", commits: 1},
+		"a larger gang":                   {steps: gang(3), tenant: "north", refused: true},
+		"a larger long-running gang":      {steps: lasting, tenant: "north", refused: true},
+		"accepted before":                 {steps: gang(3), tenant: "north", before: true, commits: 1}, // which finds it and writes nothing
+		"the home cannot be read":         {steps: gang(3), tenant: "north", blind: true, commits: 1},
+		"of a tenant without a cap":       {steps: gang(3), tenant: "south", commits: 1},
+		"of no tenant":                    {steps: gang(3), commits: 1},
+		"a task larger than the cap":      {steps: []dotterjob.Step{{Count: 1, Estimate: 100, Size: dotterroom.Room{MilliCores: 40_000}}}, tenant: "north", commits: 1},
+		"a wide step larger than the cap": {steps: []dotterjob.Step{{Count: 9, Estimate: 100, Size: dotterroom.Room{MilliCores: 4000}}}, tenant: "north", commits: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := &resettingStore{Store: dottermemory.New(dotterclock.NewSystem()), readsFail: tc.blind}
+			s := newTestService(t, store, fixedHealth{}, "127.0.0.1:1")
+			s.boards = capped{}
+			core, lines := observer.New(zap.InfoLevel)
+			s.logger = zap.New(core)
+			j := testJob()
+			j.Tenant, j.Steps = tc.tenant, tc.steps
+			if tc.before {
+				_, err := store.Store.Put(t.Context(), HomeKey(j.ID), []byte("all"), 0, "")
+				require.NoError(t, err)
+			}
+			err := s.Submit(t.Context(), dotterjob.Caller{}, j)
+			assert.Equal(t, tc.commits, store.commits.Load())
+			refusals := lines.FilterMessage("job refused, larger than cap").All()
+			if !tc.refused {
+				assert.NoError(t, err)
+				assert.Empty(t, refusals)
+				assert.Empty(t, s.Refusals())
+				return
+			}
+			var overload *OverloadError
+			require.ErrorAs(t, err, &overload)
+			assert.ErrorIs(t, err, ErrRefused)
+			assert.Equal(t, dotteradmission.LargerThanCap, overload.Reason)
+			assert.Equal(t, 60*dotterclock.Second, overload.RetryAfter)
+			assert.Equal(t, map[Refusal]int64{{Queue: j.Queue, Reason: dotteradmission.LargerThanCap}: 1}, s.Refusals())
+			require.Len(t, refusals, 1)
+			fields := refusals[0].ContextMap()
+			assert.Equal(t, string(j.ID), fields["Job"])
+			assert.Equal(t, "north", fields["Tenant"])
+			assert.Equal(t, "LargerThanCap", fields["Reason"])
+			assert.Equal(t, dotterroom.Room{MilliCores: 12_000}.String(), fields["LargestGang"])
+			assert.Equal(t, dotterroom.Room{MilliCores: 10_000}.String(), fields["Cap"])
+			assert.EqualValues(t, 7, fields["Version"])
+		})
+	}
+}
--- a/internal/job/dotterentry/ownership_test.go
+++ b/internal/job/dotterentry/ownership_test.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterlink"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
@@ -40,6 +41,8 @@
 	return dotteradmission.Decision{}
 }
 
+func (ownedShard) TenantCap(string) (dotterroom.Room, int64) { return dotterroom.Room{}, 0 }
+
 // newOwner starts the host of the shard's owner, which has the jobs on its board, and returns its
 // service and address.
 func newOwner(t *testing.T, store *resettingStore, jobs ...dotterjob.Job) (*Service, string) {
--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterlink"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
@@ -75,6 +76,9 @@
 	Home(j dotterjob.Job) (shard string, ok bool)
 	// Admission decides whether a new job is refused under overload.
 	Admission(j dotterjob.Job) dotteradmission.Decision
+	// TenantCap returns the cap of the tenant that is in force on this host, zero if there is
+	// none, and the version of the configuration that has it.
+	TenantCap(tenant string) (limit dotterroom.Room, version int64)
 }
 
 // StoreHealth tells what this host knows of the store from a watch that it keeps open.
@@ -99,7 +103,7 @@
 
 	mu       sync.Mutex
 	returns  *dotteradmission.Returns // of callers refused under overload
-	refusals map[Refusal]int64        // under overload
+	refusals map[Refusal]int64        // under overload or because of a cap
 }
 
 // New returns a service.
--- a/internal/job/dotterentry/service_test.go
+++ b/internal/job/dotterentry/service_test.go
@@ -20,6 +20,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterkey"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterpartition"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
@@ -69,6 +70,7 @@
 func (oneShard) Home(dotterjob.Job) (string, bool) { return "all", true }
 
 func (oneShard) Admission(dotterjob.Job) dotteradmission.Decision { return dotteradmission.Decision{} }
+func (oneShard) TenantCap(string) (dotterroom.Room, int64)        { return dotterroom.Room{}, 0 }
 
 // newTestService returns a service of a host whose owner is at address.
 func newTestService(t *testing.T, store *resettingStore, health fixedHealth, address string) *Service {
--- a/internal/placement/dotteradmission/decision.go
+++ b/internal/placement/dotteradmission/decision.go
@@ -46,6 +46,8 @@
 const (
 	Backlog   Reason = "Backlog"   // of its priority and higher ones
 	TenantCap Reason = "TenantCap" // backlog of its tenant, which is at its cap
+
+	LargerThanCap Reason = "LargerThanCap" // a gang exceeds its tenant's cap (dotterquota.FitsCap)
 )
 
 // Shard is a live shard that has workers for the job.
--- a/internal/placement/dotterquota/account.go
+++ b/internal/placement/dotterquota/account.go
@@ -95,12 +95,19 @@
 // FitsCap reports whether each step of the job can start under the cap: a gang larger than the
 // cap never can.
 func FitsCap(cap dotterroom.Room, j dotterjob.Job) bool {
+	return LargestGang(cap, j).IsZero()
+}
+
+// LargestGang returns in each field the most that a gang of the job which exceeds the cap needs,
+// or the zero room if none exceeds it.
+func LargestGang(cap dotterroom.Room, j dotterjob.Job) dotterroom.Room {
+	var largest dotterroom.Room
 	for _, s := range j.Steps {
-		if s.Gang && s.Count > 1 && !within(cap, times(s.Size, s.Count), cap) {
-			return false
+		if size := times(s.Size, s.Count); s.Gang && s.Count > 1 && !within(cap, size, cap) {
+			largest = largest.Max(size)
 		}
 	}
-	return true
+	return largest
 }
 
 // count returns how many of the requested tasks fit into what is left of the limit. It is 0 if any limited
--- a/internal/server/dotterscheduler/admission.go
+++ b/internal/server/dotterscheduler/admission.go
@@ -19,10 +19,7 @@
 	if !ok {
 		return dotteradmission.Decision{}
 	}
-	tenantCap := dotterroom.Room{}
-	if t, ok := c.document.Tenant(j.Tenant); ok {
-		tenantCap = t.Cap
-	}
+	tenantCap, _ := s.TenantCap(j.Tenant)
 	var shards []dotteradmission.Shard
 	states := s.shardStates()
 	for _, state := range states {
@@ -35,6 +32,16 @@
 	return dotteradmission.Decide(wallTime(), j, queue, tenantCap, shards)
 }
 
+// TenantCap implements dotterentry.Boards.
+func (s *Scheduler) TenantCap(tenant string) (limit dotterroom.Room, version int64) {
+	c := s.configuration.Load()
+	if c == nil {
+		return dotterroom.Room{}, 0
+	}
+	t, _ := c.document.Tenant(tenant)
+	return t.Cap, c.document.Version
+}
+
 // hasWorkersFor reports whether the shard may have workers for all steps of the job. One whose
 // owner has not published its room may have them.
 func hasWorkersFor(shard dotterhome.Candidate, j dotterjob.Job, service string) bool {
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -71,7 +71,7 @@
 		beyond:      desc("jobs_beyond_rate_total", "Jobs that went after others, because their tenant has sent more than its rate.", "shard"),
 		granted:     desc("cap_parts_given_total", "Parts of tenants' caps given to other shards.", "shard"),
 		tenants:     desc("tenant", "What tenants use and wait for in the shards that this host owns, by kind.", "tenant", "kind"),
-		overload:    desc("jobs_refused_total", "Submissions that this host refused under overload, by reason.", "queue", "reason"),
+		overload:    desc("jobs_refused_total", "Submissions that this host refused under overload or because of a cap, by reason.", "queue", "reason"),
 	}
 }
 
