--- a/internal/job/dotterboard/allotment_test.go
+++ b/internal/job/dotterboard/allotment_test.go
@@ -264,3 +264,18 @@
 	a.board.AbsorbGrant("key", g)
 	assert.False(t, a.board.Dirty())
 }
+
+// TestContendingShardsMakeProgress guards against shards that all need more of a tenant's cap than
+// their parts, so that none gives anything away and nothing ever runs.
+func TestContendingShardsMakeProgress(t *testing.T) {
+	f := newTenantFederation(t, map[string]int{"a": 1, "b": 1, "c": 1, "d": 1}, tenantWithCap("north", 3))
+	var ids []dotterjob.ID
+	for i, home := range []string{"a", "b", "c", "d"} {
+		ids = append(ids, f.submitAs(home, "north", 1+i, tasks(8, 500)))
+	}
+	f.run(60_000)
+	for _, id := range ids {
+		assert.Equal(t, dotterjob.Completed, f.state(id), "job %s", id)
+	}
+	f.requireNoViolations()
+}
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -134,6 +134,9 @@
 // failNeverStarting fails the job of a gang that is larger than its tenant's cap, once the job
 // is too late to be of use. Until then the cap may be raised.
 func (p *plan) failNeverStarting(s *step, a dotterquota.Account) {
+	if s.LongRunning {
+		return // its objective says nothing of how long it may wait
+	}
 	o := s.occurrence
 	begin, objective := o.releaseTime(p.wall, p.now), o.objective(p.wall, p.now)
 	if p.now <= begin+usefulFactor*(objective-begin) {
--- a/internal/server/dotterscheduler/admission.go
+++ b/internal/server/dotterscheduler/admission.go
@@ -12,7 +12,9 @@
 // Admission implements dotterentry.Boards.
 func (s *Scheduler) Admission(j dotterjob.Job) dotteradmission.Decision {
 	c := s.configuration.Load()
-	if !s.settings.Board.Admission || c == nil {
+	// With tenants the order of waiting jobs depends on their rates, shares and caps, which the
+	// outlook does not have, so that a hot tenant would get the others' jobs refused.
+	if !s.settings.Board.Admission || c == nil || c.document.HasTenants() {
 		return dotteradmission.Decision{}
 	}
 	queue, ok := c.document.Queue(j.Queue)
