Take the end of a lost run for the task's while its next start is not sent

In the log the worker of the first run answers again 90 ms before the second one starts. Cause, by the code: an end that is listed after the lease has lapsed is acknowledged although the task has been bound again, and the start is sent afterwards. The platform allows that, since the lease lapsed in between, but the work is done twice. Change: if the next start has certainly not been sent, the task is done. Result: TestEndBeforeRestartIsSentCounts fails before (two starts) and passes; tests of faults, invariants, stops and ends pass.

--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -291,6 +291,9 @@
 	}
 	j := t.job()
 	j.begun = true
+	if e.Ending == dotterrun.Done && t.isUnsent() && !t.step.Gang && !t.step.LongRunning {
+		b.release(now, t, dotteraccount.Dropped) // the end makes the next run unnecessary
+	}
 	if e.Ending == dotterrun.Done && t.startedAgain() && t.ref() != e.Ref && !t.step.LongRunning && !expired {
 		// The run was taken for lost and the task was started again, but nothing shows
 		// that the lease had expired first. The end has no effect. It is not acknowledged
--- a/internal/job/dotterboard/recovery_test.go
+++ b/internal/job/dotterboard/recovery_test.go
@@ -206,3 +206,25 @@
 	s.run(300)
 	assert.Len(t, s.accepted, 1, "the body tells a successor that the end must not be acknowledged")
 }
+
+// TestEndBeforeRestartIsSentCounts guards against a task that is started again although the end of
+// its first run, which was taken for lost, has just been listed and is acknowledged.
+func TestEndBeforeRestartIsSentCounts(t *testing.T) {
+	s := newShard(t, 1)
+	s.run(200)
+	id := s.submit(1, tasks(1, 600))
+	beside := s.submit(2, tasks(1, 20_000))
+	s.until(1000, func() bool { return len(s.workersOf(id)) == 1 && len(s.workersOf(beside)) == 1 })
+	s.pool.SetUnreachable("w00", true) // the first run is done there, the other one lapses
+	s.pool.Add(testWorker(1))
+	s.run(4000)
+	s.storeUp = false // the binding of the second run is not stored yet
+	s.until(5000, func() bool { return s.board.find(firstTask(id)).phase == bound })
+	s.pool.SetUnreachable("w00", false)
+	s.run(300)
+	s.storeUp = true
+	s.until(2000, s.stateIs(id, dotterjob.Completed))
+	s.run(1000)
+	assert.Equal(t, 1, s.pool.Starts(id))
+	s.requireNoViolations()
+}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -95,6 +95,11 @@
 	return t.phase == ordered || t.phase == uncertain || t.phase == inherited || t.phase == running
 }
 
+// isUnsent reports whether the task is bound and its start has certainly not been sent.
+func (t *task) isUnsent() bool {
+	return t.phase == bound || t.phase == ordered && t.sentAt == 0
+}
+
 // startedAgain reports whether the task is bound or, in a gang, any of its members.
 func (t *task) startedAgain() bool {
 	if t.step.Gang {
