--- a/internal/job/dotterboard/relief.go
+++ b/internal/job/dotterboard/relief.go
@@ -154,7 +154,7 @@
 	t, f := v.filling[a.Filling], v.Filling[a.Filling]
 	b.counters.Relief[a.Kind]++
 	fields := b.runFields(t, zap.String("Action", string(a.Kind)), zap.String("Reason", string(a.Reason)), zap.Int("FromPercent", t.pace), zap.Int("Percent", a.Percent),
-		zap.Float64("Guilt", a.Added), zap.String("FillingImage", t.step.Image),
+		zap.Float64("AddedLoad", a.Added), zap.String("FillingImage", t.step.Image),
 		zap.Int64("WorkMs", int64(f.Stake.Work)), zap.Int64("LeftMs", int64(f.Stake.Left)), zap.Int64("SlackMs", int64(f.Stake.Slack)),
 		zap.Int64("DelayMs", int64(f.Stake.Delay)), zap.Int("EarlierStops", f.Stake.Stops))
 	if a.Serving >= 0 { // otherwise none is left
