--- a/internal/placement/dotterrelief/cost.go
+++ b/internal/placement/dotterrelief/cost.go
@@ -134,8 +134,8 @@
 	return actions
 }
 
-// paceFor returns the highest pace at which the task adds less to a serving task's load by
-// excess, or minPace.
+// paceFor returns the highest pace at which the load that the task adds to a serving task is lower
+// by excess than now, or minPace.
 func (f Filling) paceFor(serving int, excess float64) int {
 	pace := int(float64(f.Pace)*(1-excess/f.Added[serving]) + tolerance)
 	return max(minPace, min(pace/paceStep*paceStep, f.Pace-paceStep))
