--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -48,6 +48,7 @@
 	excluded    map[dotterjob.ID]bool         // jobs that are left as they are stored
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
+	quota       quota                         // caps of tenants
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
@@ -60,7 +61,7 @@
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
-		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{},
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(),
 	}
 }
 
@@ -130,6 +131,7 @@
 	j := newJob(accepted, queue, now-max(0, age))
 	b.jobs[j.ID] = j
 	b.open = append(b.open, j)
+	b.noteArrival(j)
 	return j
 }
 
@@ -169,15 +171,16 @@
 	}
 }
 
-// State returns the visible state of a job, or false if the board is not the home of the job.
-func (b *Board) State(id dotterjob.ID) (dotterjob.State, bool) {
+// State returns the visible state of a job and the tenant that it belongs to, or false if the
+// board is not the home of the job.
+func (b *Board) State(id dotterjob.ID) (state dotterjob.State, tenant string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	j, ok := b.jobs[id]
 	if !ok || j.visiting {
-		return "", false
+		return "", "", false
 	}
-	return j.state(), true
+	return j.state(), j.Tenant, true
 }
 
 // Pending returns, by queue, the number of open jobs of which no task has started.
@@ -321,8 +324,7 @@
 	t.tailReadAt, t.workerStartedAt, t.speedObserved, t.fromScratch = 0, 0, false, t.checkpoint == ""
 	t.step.waiting--
 	t.job().runs++
-	w.reserved = w.reserved.Add(t.step.Reserved())
-	w.runs[t.ref()] = t
+	b.reserve(w, t)
 	w.beginTrial(t)
 	w.load = nil
 	j := t.job()
@@ -330,11 +332,24 @@
 	b.markDirty(j)
 }
 
+// reserve counts the task's run on the worker and for its tenant.
+func (b *Board) reserve(w *worker, t *task) {
+	w.reserved = w.reserved.Add(t.step.Reserved())
+	w.runs[t.ref()] = t
+	b.quota.uses.Add(t.job().Tenant, t.step.Size)
+}
+
+// unreserve undoes reserve.
+func (b *Board) unreserve(w *worker, t *task) {
+	delete(w.runs, t.ref())
+	w.reserved = w.reserved.Sub(t.step.Reserved())
+	b.quota.uses.Remove(t.job().Tenant, t.step.Size)
+}
+
 // release unbinds a task from its worker. The task is waiting afterwards.
 func (b *Board) release(t *task) {
 	w := t.worker
-	delete(w.runs, t.ref())
-	w.reserved = w.reserved.Sub(t.step.Reserved())
+	b.unreserve(w, t)
 	w.endTrial(t)
 	w.load = nil
 	t.worker = nil
--- a/internal/job/dotterboard/exclude_test.go
+++ b/internal/job/dotterboard/exclude_test.go
@@ -146,7 +146,7 @@
 			listed := s.accepted[0]
 			leaves(s, id)
 			before := s.pool.Starts(id)
-			_, known := s.board.State(id)
+			_, _, known := s.board.State(id)
 			require.False(t, known)
 			s.board.Accept(s.clock.Now(), 0, listed)
 			s.run(1000)
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -7,6 +7,8 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
+	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
 // smallestClassMilliCores is the upper bound of the smallest size class, in thousandths of a
@@ -39,6 +41,8 @@
 	ends            []*end             // received since the last batch
 	outgoing        []*Transfer        // handed over since the last batch
 	incoming        []string           // keys of transfers that were applied since the last batch
+
+	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
@@ -60,6 +64,7 @@
 	done          int                // number of tasks done
 	readyAt       dotterclock.Millis // when a plan first found the step ready; 0: not yet
 	waitingSince  dotterclock.Millis // since when plans have left tasks of the ready step waiting; 0: none waits
+	heldSince     dotterclock.Millis // since when the cap of its tenant has kept tasks from starting; 0: it does not
 	remainingPath dotterclock.Millis // declared length of the critical path that begins with this step
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
@@ -93,6 +98,12 @@
 	return bits.Len64(uint64(s.Reserved().MilliCores / smallestClassMilliCores))
 }
 
+// waitingRoom returns the declared size of all waiting tasks together.
+func (s *step) waitingRoom() dotterroom.Room {
+	n := int64(s.waiting)
+	return dotterroom.Room{MilliCores: n * s.Size.MilliCores, MemoryMB: n * s.Size.MemoryMB, Accelerators: n * s.Size.Accelerators}
+}
+
 // ready reports whether the step is due and the steps that it depends on are done.
 func (s *step) ready(wall dotterclock.Millis) bool {
 	if s.occurrence.due > wall {
--- a/internal/job/dotterentry/keys.go
+++ b/internal/job/dotterentry/keys.go
@@ -12,12 +12,31 @@
 	PartitionKey = "Dotter/Partition" // how the workers are divided into shards
 	HeadPrefix   = "Dotter/Head/"     // heads of the shards
 	CancelPrefix = "Dotter/Cancel/"   // cancellations of jobs in any shard
-	homePrefix   = "Dotter/Home/"     // shards of the jobs
+	homePrefix   = "Dotter/Home/"     // shards and tenants of the jobs
 
 	// InterferencePrefix is the prefix of the owners' estimates of interference between images.
 	InterferencePrefix = "Dotter/Learned/"
 )
 
+// grantName stands for the job in the keys of grants. It is no job's ID.
+const grantName = "Grant"
+
+// AllotmentKey returns the key of the shard's parts of the tenants' caps.
+func AllotmentKey(shard string) string {
+	return "Dotter/Allotment/" + shard
+}
+
+// GrantKey returns the key of a grant to a shard, by a commit of the giving shard's owner. It is
+// in the receiver's inbox, which its owner watches.
+func GrantKey(to, from string, epoch, commit int64) string {
+	return fmt.Sprintf("%s%s/%s.%d.%d", InboxPrefix(to), grantName, from, epoch, commit)
+}
+
+// IsGrantKey reports whether a key with the shard's InboxPrefix is that of a grant.
+func IsGrantKey(shard, key string) bool {
+	return strings.HasPrefix(key, InboxPrefix(shard)+grantName+"/")
+}
+
 // InboxPrefix returns the prefix of the shard's accepted jobs and of transfers to it.
 func InboxPrefix(shard string) string {
 	return "Dotter/Inbox/" + shard + "/"
@@ -33,7 +52,7 @@
 	return InterferencePrefix + shard
 }
 
-// HomeKey returns the key of the job's home, whose value is the name of a shard.
+// HomeKey returns the key of the job's home, whose value is a Home.
 func HomeKey(id dotterjob.ID) string {
 	return homePrefix + string(id)
 }
