--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -4,7 +4,10 @@
 	"math/bits"
 	"slices"
 
+	"go.uber.org/zap"
+
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
+	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
@@ -41,6 +44,7 @@
 	ends            []*end             // received since the last batch
 	outgoing        []*Transfer        // handed over since the last batch
 	incoming        []string           // keys of transfers that were applied since the last batch
+	account         dotteraccount.Account
 
 	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
 }
@@ -134,6 +138,17 @@
 	return j.outcome != "" && j.runs == 0 && j.away == 0 && !j.visiting && !j.leaving
 }
 
+// closeAccount returns the time account of the job, which is decided now, as log fields.
+func (j *job) closeAccount(now dotterclock.Millis) []zap.Field {
+	closed := j.account
+	j.forEachTask(func(t *task) {
+		if t.phase != done && t.phase != away {
+			closed.Close(&t.account, now, t.step.readyAt)
+		}
+	})
+	return closed.Fields(j.localAcceptedAt, now)
+}
+
 // forEachTask calls visit for each task.
 func (j *job) forEachTask(visit func(*task)) {
 	for _, o := range j.occurrences {
