--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 	"github.com/dotterelusher/dotterelusher/internal/placement/dotterquota"
 )
 
@@ -46,7 +47,9 @@
 	incoming        []string           // keys of transfers that were applied since the last batch
 	account         dotteraccount.Account
 
-	arrival *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
+	arrival       *dotterquota.Arrival // for the rate of its tenant; nil: it belongs to none
+	heldFor       dotterclock.Millis   // for which its tenant's cap has held tasks, without holds that go on
+	deprioritized bool                 // whether it was counted as one that goes after others for that rate
 }
 
 // occurrence is one execution of a job's steps; recurring jobs have several.
@@ -73,6 +76,8 @@
 	samples       []slowdownSample   // run times of its tasks relative to the estimate
 	userLoad      trend              // of a serving step: the load caused by its users
 	imageNumber   int                // of its image in Board.slopes; 0: none yet
+	position      int                // in the order of the last plan with look-ahead
+	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
 }
 
--- a/internal/job/dotterboard/plan.go
+++ b/internal/job/dotterboard/plan.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotteraccount"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterroom"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 )
 
 // plan is one pass that places the tasks of ready steps on workers.
@@ -17,6 +18,7 @@
 	workers map[string][]*worker // by service
 	unused  map[string]float64   // by service: see unusedFraction
 	all     []candidate
+	ahead   *lookAhead
 	rack    string          // on which a rack-sensitive gang is being placed; empty: any
 	left    int             // tasks of the step being placed that may still be bound
 	held    map[string]bool // tenants of which a step is held by the cap
@@ -46,7 +48,7 @@
 )
 
 // usefulFactor is how many times its objective a job may take and still be of use.
-const usefulFactor = 3
+const usefulFactor = dotteradmission.UsefulFactor
 
 // minEstimateFraction is the fraction of its declared run time that a job takes at least.
 // Declared run times are off by about half, in either direction.
@@ -67,7 +69,7 @@
 	candidates := p.candidates()
 	p.all = candidates
 	if len(candidates) == 0 {
-		p.allot()
+		b.containShared("allotments", p.allot)
 		return now + maxListingAge
 	}
 	for _, w := range b.workersByID {
@@ -78,11 +80,12 @@
 	}
 	b.backlog = p.backlog(candidates)
 	p.unblock()
+	b.containShared("look-ahead", func() { p.ahead = p.newLookAhead(candidates) })
 	next := now + replanInterval
 	for _, c := range candidates {
 		b.contain(c.step.occurrence.job.ID, func() { next = min(next, p.attempt(c.step)) })
 	}
-	p.allot()
+	b.containShared("allotments", p.allot)
 	b.containShared("handover", func() { p.handOver(candidates) })
 	return next
 }
@@ -95,14 +98,15 @@
 		return again // because of another of its steps
 	}
 	if p.isBlocked(s) && !p.isStarving(s) {
-		s.heldSince = 0
+		s.endHold(p.now)
 		return min(again, p.now+blockedDuration(s))
 	}
 	if p.placeWithinCap(s) {
 		return again
 	}
 	p.board.noteFull(p.now)
-	key := keyOf(s)
+	p.ahead.reserve(s)
+	key := p.keyOf(s)
 	p.board.blocked[key] = append(p.board.blocked[key], blockedSize{size: s.Size, until: p.now + blockedDuration(s)})
 	return min(again, p.now+blockedDuration(s))
 }
@@ -148,6 +152,7 @@
 type blockedKey struct {
 	service, image, label, rack string
 	fills                       bool
+	ahead                       aheadKey
 	exclusive                   *step // set for a step whose placement depends on its own state; it shares its key with no other
 }
 
@@ -184,7 +189,7 @@
 	if len(p.board.blocked) == 0 {
 		return false
 	}
-	for _, b := range p.board.blocked[keyOf(s)] {
+	for _, b := range p.board.blocked[p.keyOf(s)] {
 		if b.size.Fits(s.Size) {
 			return true
 		}
@@ -226,7 +231,8 @@
 		}
 		for _, s := range o.steps {
 			if s.waiting == 0 {
-				s.waitingSince, s.heldSince = 0, 0
+				s.waitingSince = 0
+				s.endHold(p.now)
 			} else if s.ready(p.wall) {
 				if s.readyAt == 0 {
 					s.readyAt = p.now
@@ -386,6 +392,7 @@
 	}
 	p.board.bind(p.now, t, w)
 	p.left--
+	p.ahead.placed(t, w)
 	t.boundAt = p.now
 	w.faults.recordPlacement(p.now)
 }
--- a/internal/job/dotterentry/ownership_test.go
+++ b/internal/job/dotterentry/ownership_test.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterboard"
 	"github.com/dotterelusher/dotterelusher/internal/job/dotterlink"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterjob"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
 	"github.com/dotterelusher/dotterelusher/internal/platform/dottermemory"
 )
 
@@ -35,6 +36,10 @@
 	return s
 }
 
+func (ownedShard) Admission(dotterjob.Job) dotteradmission.Decision {
+	return dotteradmission.Decision{}
+}
+
 // newOwner starts the host of the shard's owner, which has the jobs on its board, and returns its
 // service and address.
 func newOwner(t *testing.T, store *resettingStore, jobs ...dotterjob.Job) (*Service, string) {
