--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -12,6 +12,8 @@
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterqueues"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterrun"
 	"github.com/dotterelusher/dotterelusher/internal/model/dotterworker"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotteradmission"
+	"github.com/dotterelusher/dotterelusher/internal/placement/dotterlookahead"
 )
 
 // Board is the scheduling state of a shard. It is safe for concurrent use.
@@ -50,8 +52,12 @@
 	departed    map[dotterjob.ID]departure    // jobs that have left the shard
 	closures    []closure                     // of the last closureRetention
 	quota       quota                         // caps of tenants
+	meter       *dotteradmission.Meter        // of the work done while there is a backlog
 	wallOffset  dotterclock.Millis            // time of day less the owner's clock
 
+	ahead    map[string]*dotterlookahead.Book // room reserved for large tasks, by service
+	aheadLog reservationLog
+
 	directoryFreshAt dotterclock.Millis // up to when the directory is known to be complete; 0: it never was
 }
 
@@ -62,7 +68,8 @@
 		settings: settings, epoch: epoch, ownedSince: now, predecessorUntil: predecessorUntil, logger: logger,
 		jobs: map[dotterjob.ID]*job{}, workers: map[string]*worker{}, outDomains: map[string]bool{}, learned: newLoadModel(), counters: newCounters(),
 		blocked: map[blockedKey][]blockedSize{}, cancelled: map[dotterjob.ID]Cancellation{}, absorbed: map[string]dotterclock.Millis{}, kept: map[string]*keptRoom{},
-		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(),
+		excluded: map[dotterjob.ID]bool{}, departed: map[dotterjob.ID]departure{}, quota: newQuota(), meter: dotteradmission.NewMeter(),
+		ahead: map[string]*dotterlookahead.Book{},
 	}
 }
 
@@ -291,8 +298,13 @@
 	if outcome == dotterjob.Failed {
 		level = zap.WarnLevel // is not dropped with the lines of runs that end in a crash
 	}
-	b.logger.Log(level, "job decided", append(j.closeAccount(now), zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
-		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))...)
+	fields := append(j.closeAccount(now),
+		zap.String("Job", string(j.ID)), zap.String("Outcome", string(outcome)),
+		zap.String("Reason", reason), zap.Int64("AfterMs", int64(now-j.localAcceptedAt)))
+	if j.Tenant != "" {
+		fields = append(fields, zap.String("Tenant", j.Tenant), zap.Int64("HeldMs", int64(j.heldTime(now))), zap.Bool("BeyondRate", j.arrival != nil && j.arrival.Beyond))
+	}
+	b.logger.Log(level, "job decided", fields...)
 	if outcome != dotterjob.Completed {
 		j.forEachTask(func(t *task) {
 			switch {
@@ -340,14 +352,14 @@
 func (b *Board) reserve(w *worker, t *task) {
 	w.reserved = w.reserved.Add(t.step.Reserved())
 	w.runs[t.ref()] = t
-	b.quota.uses.Add(t.job().Tenant, t.step.Size)
+	b.quota.uses.Add(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // unreserve undoes reserve.
 func (b *Board) unreserve(w *worker, t *task) {
 	delete(w.runs, t.ref())
 	w.reserved = w.reserved.Sub(t.step.Reserved())
-	b.quota.uses.Remove(t.job().Tenant, t.step.Size)
+	b.quota.uses.Remove(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
 // release unbinds a task from its worker, where its run has met the fate. The task is waiting
