--- a/internal/job/dotteraccount/account.go
+++ b/internal/job/dotteraccount/account.go
@@ -19,16 +19,16 @@
 	maxNameLength = 80
 )
 
-// Fate is how a run ended.
-type Fate int
+// Result is how a run ended.
+type Result int
 
-// The fates of a run.
+// The results of a run.
 const (
-	Done    Fate = iota // its task is done
-	Failed              // its program failed
-	Stopped             // it was ordered to stop
-	Lost                // it ended with its worker, with its lease, or without a trace
-	Dropped             // it was never ordered, or its worker refused it
+	Done    Result = iota // its task is done
+	Failed                // its program failed
+	Stopped               // it was ordered to stop
+	Lost                  // it ended with its worker, with its lease, or without a trace
+	Dropped               // it was never ordered, or its worker refused it
 )
 
 // Account is the time account of one job, as seen by one owner.
@@ -105,7 +105,7 @@
 }
 
 // End records the end of a task's run on a worker. The cause matters to stopped runs only.
-func (a *Account) End(t *Task, now dotterclock.Millis, id dotterjob.TaskID, worker string, fate Fate, cause string) {
+func (a *Account) End(t *Task, now dotterclock.Millis, id dotterjob.TaskID, worker string, result Result, cause string) {
 	spent := now - t.since
 	switch {
 	case t.phase == waiting:
@@ -115,13 +115,13 @@
 		if a.open == 0 {
 			a.idleSince = now
 		}
-	case fate != Lost:
+	case result != Lost:
 		a.starting += spent
 		t.waited += spent
 		spent = 0
 	}
-	a.add(fate, spent, cause)
-	if fate == Done && now-t.readyAt >= a.slowestTotal {
+	a.add(result, spent, cause)
+	if result == Done && now-t.readyAt >= a.slowestTotal {
 		a.slowest, a.slowestTotal, a.slowestWait, a.slowestLast = id, now-t.readyAt, t.waited, spent
 		a.slowestRuns, a.slowestWorker = t.runs, cut(worker)
 	}
@@ -129,8 +129,8 @@
 }
 
 // add counts the end of a run that was at work for spent.
-func (a *Account) add(fate Fate, spent dotterclock.Millis, cause string) {
-	switch fate {
+func (a *Account) add(result Result, spent dotterclock.Millis, cause string) {
+	switch result {
 	case Done:
 		a.done += spent
 	case Failed:
--- a/internal/job/dotteraccount/account_test.go
+++ b/internal/job/dotteraccount/account_test.go
@@ -56,12 +56,12 @@
 			play: func(a *Account, t, _ *Task) {
 				at := dotterclock.Millis(100)
 				for _, e := range []struct {
-					fate  Fate
-					cause string
+					result Result
+					cause  string
 				}{{Stopped, "interferes"}, {Stopped, "interferes"}, {Lost, ""}, {Failed, ""}, {Done, ""}} {
 					a.Bind(t, at, 100)
 					a.Start(t, at)
-					a.End(t, at+200, first, "w1", e.fate, e.cause)
+					a.End(t, at+200, first, "w1", e.result, e.cause)
 					at += 250 // waits for 50 ms
 				}
 			},
--- a/internal/job/dotterboard/board.go
+++ b/internal/job/dotterboard/board.go
@@ -362,11 +362,11 @@
 	b.quota.uses.Remove(t.job().Tenant, t.step.Size, t.step.LongRunning)
 }
 
-// release unbinds a task from its worker, where its run has met the fate. The task is waiting
-// afterwards.
-func (b *Board) release(now dotterclock.Millis, t *task, fate dotteraccount.Fate) {
+// release unbinds a task from its worker. The task is waiting afterwards; result goes into the time
+// account of its job.
+func (b *Board) release(now dotterclock.Millis, t *task, result dotteraccount.Result) {
 	w := t.worker
-	t.job().account.End(&t.account, now, t.id(), w.ID, fate, t.stopReason)
+	t.job().account.End(&t.account, now, t.id(), w.ID, result, t.stopReason)
 	b.unreserve(w, t)
 	w.endTrial(t)
 	w.load = nil
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -330,7 +330,7 @@
 	if ending == dotterrun.Done && t.fromScratch && !t.speedObserved && t.pacedAt < t.startedAt {
 		b.observeSpeed(now, w, t, now-t.startedAt, 1)
 	}
-	b.release(now, t, fateOf(ending))
+	b.release(now, t, resultOf(ending))
 	switch ending {
 	case dotterrun.Done:
 		w.faults.recordSuccess(now)
@@ -346,8 +346,8 @@
 	}
 }
 
-// fateOf returns the fate of a run for the account of its job.
-func fateOf(ending dotterrun.Ending) dotteraccount.Fate {
+// resultOf returns the result of a run for the account of its job.
+func resultOf(ending dotterrun.Ending) dotteraccount.Result {
 	switch ending {
 	case dotterrun.Done:
 		return dotteraccount.Done
--- a/internal/job/dotterboard/look_ahead.go
+++ b/internal/job/dotterboard/look_ahead.go
@@ -18,7 +18,7 @@
 	// smaller ones fit as soon as one quick task ends.
 	largeFactor = 2
 	// reservedWorkersDivisor sets the fraction of a service's open workers that may have a
-	// reservation, at least one. With an eighth, quick tasks waited longer and large ones hardly less.
+	// reservation, at least one. Quick tasks wait for the room that is withheld for larger ones.
 	reservedWorkersDivisor = 16
 	// maxWithheld is how long a new long-running task may be held back by reservations after its
 	// job's release. Its users give it up after 3 s beside room for it.
@@ -108,7 +108,7 @@
 	return v
 }
 
-// holders returns the runs that hold room on the worker, in an order that does not depend on chance.
+// holders returns the runs that hold room on the worker, in a deterministic order.
 func (b *Board) holders(now dotterclock.Millis, w *worker) []dotterlookahead.Holder {
 	hs := make([]dotterlookahead.Holder, 0, len(w.runs))
 	for _, t := range w.runs {
--- a/internal/job/dotterboard/quota.go
+++ b/internal/job/dotterboard/quota.go
@@ -14,25 +14,25 @@
 // cap holds, and on its jobs beyond its rate. With 68 tenants each is at most 14 lines a second.
 const heldLogInterval = 5 * dotterclock.Second
 
-// drainDelay is how long a gang, or a task larger than the cap, waits for runs of its tenant to end
+// exclusiveDelay is how long a gang, or a task larger than the cap, waits for runs of its tenant to end
 // before nothing else of the tenant starts, whatever the order of placement. Tasks of quick jobs
 // take up to a second, so it mostly gets its turn by the order before.
-const drainDelay = 1000 * dotterclock.Millisecond
+const exclusiveDelay = 1000 * dotterclock.Millisecond
 
 // quota is what the board knows of the caps of tenants.
 type quota struct {
-	uses     dotterquota.Uses              // of everything that may run, by tenant
-	loggedAt map[string]dotterclock.Millis // when a held step was last logged, by tenant
-	draining map[string]*step              // by tenant: a step for which the others wait; see drainDelay
-	meters   map[string]*dotterquota.Meter // of the rates at which the tenants' jobs were accepted
-	fullAt   dotterclock.Millis            // when a step last found no worker; 0: never
+	uses      dotterquota.Uses              // of everything that may run, by tenant
+	loggedAt  map[string]dotterclock.Millis // when a held step was last logged, by tenant
+	exclusive map[string]*step              // by tenant: a step for which the others wait; see exclusiveDelay
+	meters    map[string]*dotterquota.Meter // of the rates at which the tenants' jobs were accepted
+	fullAt    dotterclock.Millis            // when a step last found no worker; 0: never
 
 	beyondLoggedAt map[string]dotterclock.Millis // when jobs beyond the rate were last logged, by tenant
 	allotments     allotments
 }
 
 func newQuota() quota {
-	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, draining: map[string]*step{}, meters: map[string]*dotterquota.Meter{}, beyondLoggedAt: map[string]dotterclock.Millis{}, allotments: newAllotments()}
+	return quota{uses: dotterquota.NewUses(), loggedAt: map[string]dotterclock.Millis{}, exclusive: map[string]*step{}, meters: map[string]*dotterquota.Meter{}, beyondLoggedAt: map[string]dotterclock.Millis{}, allotments: newAllotments()}
 }
 
 // account returns the account of a tenant in this shard. A tenant that is not configured has no cap.
@@ -53,8 +53,8 @@
 	}
 	a := p.board.account(j.Tenant)
 	d := dotterquota.Decide(a, dotterquota.Request{Size: s.Size, Count: s.waiting, Gang: s.Gang})
-	if first := p.board.draining(j.Tenant); first == s && d.Verdict != dotterquota.Drain {
-		delete(p.board.quota.draining, j.Tenant)
+	if first := p.board.exclusiveStep(j.Tenant); first == s && d.Verdict != dotterquota.Exclusive {
+		delete(p.board.quota.exclusive, j.Tenant)
 	} else if first != s && (first != nil || p.held[j.Tenant]) {
 		d = dotterquota.Decision{Verdict: max(d.Verdict, dotterquota.Held)}
 	}
@@ -74,20 +74,20 @@
 	}
 	p.held[j.Tenant] = p.held[j.Tenant] || d.Verdict < dotterquota.Short
 	p.board.hold(p.now, s, a, d)
-	if d.Verdict == dotterquota.Drain && p.now-s.heldSince >= drainDelay && p.board.draining(j.Tenant) == nil {
-		p.board.quota.draining[j.Tenant] = s
+	if d.Verdict == dotterquota.Exclusive && p.now-s.heldSince >= exclusiveDelay && p.board.exclusiveStep(j.Tenant) == nil {
+		p.board.quota.exclusive[j.Tenant] = s
 	}
 	return true
 }
 
-// draining returns the step of the tenant for which its others wait, or nil.
-func (b *Board) draining(tenant string) *step {
-	s, ok := b.quota.draining[tenant]
+// exclusiveStep returns the step of the tenant for which its others wait, or nil.
+func (b *Board) exclusiveStep(tenant string) *step {
+	s, ok := b.quota.exclusive[tenant]
 	if !ok {
 		return nil
 	}
 	if j := s.occurrence.job; s.heldSince == 0 || s.waiting == 0 || j.outcome != "" || j.leaving || b.jobs[j.ID] != j || b.excluded[j.ID] {
-		delete(b.quota.draining, tenant)
+		delete(b.quota.exclusive, tenant)
 		return nil
 	}
 	return s
--- a/internal/job/dotterboard/share.go
+++ b/internal/job/dotterboard/share.go
@@ -20,8 +20,8 @@
 	// maxInterleaved is how many steps a plan orders by shares. A full pool has room for a few of
 	// them at a time.
 	maxInterleaved = 200
-	// everyone is the partner of all tenants: their shares have one level.
-	everyone = "tenants"
+	// commonPartner is the partner of all tenants: their shares have one level.
+	commonPartner = "tenants"
 )
 
 // orderByTenant reorders candidates, which are in the order of placement: of one rank, jobs beyond
@@ -111,10 +111,10 @@
 
 // shares returns the shares of the tenants. Jobs without a tenant share as one of mean weight.
 func (b *Board) shares() *dotterfairshare.Shares {
-	document := dotterconfig.Document{Partners: []dotterconfig.Partner{{Name: everyone, SharePercent: 100}}}
+	document := dotterconfig.Document{Partners: []dotterconfig.Partner{{Name: commonPartner, SharePercent: 100}}}
 	use, sum := map[string]dotterroom.Room{}, 0.0
 	add := func(name string, weight float64) {
-		document.Teams = append(document.Teams, dotterconfig.Team{Name: name, Partner: everyone, Weight: weight})
+		document.Teams = append(document.Teams, dotterconfig.Team{Name: name, Partner: commonPartner, Weight: weight})
 		use[name] = b.quota.uses.Of(name).Room
 	}
 	for name, t := range b.document.Tenants() {
--- a/internal/job/dotterentry/overload.go
+++ b/internal/job/dotterentry/overload.go
@@ -79,7 +79,7 @@
 		return &OverloadError{Reason: dotteradmission.LargerThanCap, RetryAfter: capRetryAfter}
 	}
 	s.mu.Lock()
-	retryAfter := s.returns.Next(s.clock.Now(), d)
+	retryAfter := s.retries.Next(s.clock.Now(), d)
 	s.refusals[Refusal{Queue: j.Queue, Reason: d.Reason}]++
 	s.mu.Unlock()
 	s.logger.Info("job refused under overload", zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue), zap.String("Tenant", j.Tenant),
--- a/internal/job/dotterentry/service.go
+++ b/internal/job/dotterentry/service.go
@@ -102,8 +102,8 @@
 	homes   *lru.Cache[dotterjob.ID, string] // last known homes of jobs
 
 	mu       sync.Mutex
-	returns  *dotteradmission.Returns // of callers refused under overload
-	refusals map[Refusal]int64        // under overload or because of a cap
+	retries  *dotteradmission.RetrySchedule // of callers refused under overload
+	refusals map[Refusal]int64              // under overload or because of a cap
 }
 
 // New returns a service.
@@ -115,7 +115,7 @@
 	}
 	return &Service{
 		store: store, links: links, elector: elector, clock: clock, logger: logger, boards: boards, health: health, homes: homes,
-		returns: dotteradmission.NewReturns(), refusals: map[Refusal]int64{},
+		retries: dotteradmission.NewRetrySchedule(), refusals: map[Refusal]int64{},
 	}
 }
 
--- a/internal/placement/dotteradmission/decision_test.go
+++ b/internal/placement/dotteradmission/decision_test.go
@@ -154,7 +154,7 @@
 		}
 		d := Decide(testNow, twoSteps(), testQueue, dotterroom.Room{}, []Shard{{Outlook: o}})
 		if d.Refused {
-			after := NewReturns().Next(testNow, d)
+			after := NewRetrySchedule().Next(testNow, d)
 			assert.LessOrEqual(t, after, maxRetryAfter)
 			assert.GreaterOrEqual(t, after, minRetryAfter)
 		}
--- a/internal/placement/dotteradmission/doc.go
+++ b/internal/placement/dotteradmission/doc.go
@@ -11,6 +11,6 @@
 // within UsefulFactor times its objective, even if no other job were submitted from now on.
 // Whatever is missing, stale or implausible leads to acceptance.
 //
-// A Returns computes when refused callers are to try again, so that they return spread
+// A RetrySchedule computes when refused callers are to try again, so that they return spread
 // and in the order in which they were refused.
 package dotteradmission
--- a/internal/placement/dotteradmission/returns.go
+++ b/internal/placement/dotteradmission/retry_schedule.go
@@ -14,28 +14,28 @@
 	maxStretch = 4
 )
 
-// Returns computes when refused callers are to try again. Within a lane, those refused first
+// RetrySchedule computes when refused callers are to try again. Within a lane, those refused first
 // return first, and later ones as far apart as they were refused, or further the more the
 // lane is overloaded: a backlog that drains makes the waits of later callers shorter, so that
 // all would return at the instant at which it is gone. It is not safe for concurrent use.
-type Returns struct {
-	lanes map[Lane]returns
+type RetrySchedule struct {
+	lanes map[Lane]lastRefusal
 }
 
-// returns is the last refusal of a lane.
-type returns struct {
+// lastRefusal is the last refusal of a lane.
+type lastRefusal struct {
 	refusedAt dotterclock.Millis
 	returnAt  dotterclock.Millis
 }
 
-// NewReturns returns a Returns without refusals.
-func NewReturns() *Returns {
-	return &Returns{lanes: map[Lane]returns{}}
+// NewRetrySchedule returns a RetrySchedule without refusals.
+func NewRetrySchedule() *RetrySchedule {
+	return &RetrySchedule{lanes: map[Lane]lastRefusal{}}
 }
 
 // Next returns, in whole seconds, after how long the caller of a job that was refused at now is
 // to try again.
-func (r *Returns) Next(now dotterclock.Millis, d Decision) dotterclock.Millis {
+func (r *RetrySchedule) Next(now dotterclock.Millis, d Decision) dotterclock.Millis {
 	earliest := now + d.RetryIn()
 	if last, ok := r.lanes[d.Lane]; ok && last.returnAt > now {
 		stretch := min(maxStretch, max(1, float64(d.Wait)/float64(max(1, d.Limit))))
@@ -49,6 +49,6 @@
 			delete(r.lanes, lane)
 		}
 	}
-	r.lanes[d.Lane] = returns{refusedAt: now, returnAt: now + delay}
+	r.lanes[d.Lane] = lastRefusal{refusedAt: now, returnAt: now + delay}
 	return delay
 }
--- a/internal/placement/dotteradmission/returns_test.go
+++ b/internal/placement/dotteradmission/retry_schedule_test.go
@@ -23,7 +23,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			r := NewReturns()
+			r := NewRetrySchedule()
 			var previous dotterclock.Millis
 			perSecond := map[dotterclock.Millis]int{}
 			for i := range count {
@@ -49,7 +49,7 @@
 // TestLanesReturnApart guards against a caller of a high priority that waits behind those of a
 // lower one.
 func TestLanesReturnApart(t *testing.T) {
-	r := NewReturns()
+	r := NewRetrySchedule()
 	assert.Equal(t, 50*dotterclock.Second, r.Next(0, Decision{Wait: 60_000, Limit: 10_000, Lane: Lane{Service: "pool", Rank: 2}}))
 	assert.Equal(t, 2*dotterclock.Second, r.Next(10, Decision{Wait: 6000, Limit: 4000, Lane: Lane{Service: "pool"}}))
 }
--- a/internal/placement/dotterquota/account.go
+++ b/internal/placement/dotterquota/account.go
@@ -22,19 +22,19 @@
 // Verdict is the reason for a decision.
 type Verdict int
 
-// The verdicts. After Waves, Held and Drain, tasks may start once enough runs of the tenant in
+// The verdicts. After Waves, Held and Exclusive, tasks may start once enough runs of the tenant in
 // this shard have ended.
 const (
-	Within Verdict = iota // all may start
-	Waves                 // some may start
-	Held                  // none may start, because of what runs
-	Drain                 // the same for a gang or for a task larger than the cap, to which a single end may be of no use
-	Short                 // none may start before the shard has more of the cap, or long-running tasks have ended
-	Never                 // a gang larger than the cap
+	Within    Verdict = iota // all may start
+	Waves                    // some may start
+	Held                     // none may start, because of what runs
+	Exclusive                // the same for a gang or for a task larger than the cap, to which a single end may be of no use
+	Short                    // none may start before the shard has more of the cap, or long-running tasks have ended
+	Never                    // a gang larger than the cap
 )
 
 // verdictNames are the names of the verdicts in logs.
-var verdictNames = [...]string{Within: "Within", Waves: "Waves", Held: "Held", Drain: "Drain", Short: "Short", Never: "Never"}
+var verdictNames = [...]string{Within: "Within", Waves: "Waves", Held: "Held", Exclusive: "Exclusive", Short: "Short", Never: "Never"}
 
 // String returns the verdict's name.
 func (v Verdict) String() string {
@@ -71,7 +71,7 @@
 	case a.Allotment < Whole || a.Use.LastingRuns > 0:
 		return Decision{Verdict: Short}
 	case a.Use.Runs > 0:
-		return Decision{Verdict: Drain}
+		return Decision{Verdict: Exclusive}
 	case r.Count == 1:
 		return Decision{Start: 1}
 	}
@@ -89,7 +89,7 @@
 	case !within(a.Cap, a.Use.Lasting.Add(size), limit):
 		return Decision{Verdict: Short}
 	}
-	return Decision{Verdict: Drain}
+	return Decision{Verdict: Exclusive}
 }
 
 // FitsCap reports whether each step of the job can start under the cap: a gang larger than the
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -60,7 +60,7 @@
 		refused:     desc("starts_refused_total", "Starts that workers refused, by reason.", "shard", "reason"),
 		endings:     desc("runs_ended_total", "Runs that ended, by how.", "shard", "ending"),
 		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
-		resolved:    desc("runs_resolved_total", "Runs whose fate was worked out, by how.", "shard", "how"),
+		resolved:    desc("runs_resolved_total", "Runs whose end was not reported, by how it was found out.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
 		relief:      desc("relief_actions_total", "Orders to filling tasks for serving tasks beside them and restarts of serving tasks, by action.", "shard", "action"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
