--- /dev/null
+++ b/review/stand/cases.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// smallJob is an ordinary job of the first queue.
+func (s *system) smallJob() *job {
+	return s.newJob("/lohu930/", job{Steps: []step{
+		{Count: 6, Cpu: 5700, MemMb: 8200, EstimateMs: 1000, workMs: 1000},
+		{Count: 4, Cpu: 5700, MemMb: 8200, EstimateMs: 1000, After: []int{0}, workMs: 1000},
+	}})
+}
+
+// traffic hands a small job in every second for the time, and returns the accepted ones.
+type traffic struct {
+	mu   sync.Mutex
+	jobs []*job
+}
+
+func (t *traffic) accepted() []*job {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]*job{}, t.jobs...)
+}
+
+func (t *traffic) run(s *system, length time.Duration) {
+	var all sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Second) {
+		all.Go(func() {
+			if j := s.smallJob(); s.submit(j) == 200 {
+				t.mu.Lock()
+				t.jobs = append(t.jobs, j)
+				t.mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+}
+
+// settle waits finish_s after the traffic, and returns how many accepted jobs are shown as completed.
+func (t *traffic) settle(s *system) (completed int, others map[string]int) {
+	others = map[string]int{}
+	end := time.Now().Add(14 * time.Second)
+	left := t.accepted()
+	for len(left) > 0 && time.Now().Before(end) {
+		var open []*job
+		for _, j := range left {
+			if s.state(j) != "completed" {
+				open = append(open, j)
+			}
+		}
+		left = open
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, j := range left {
+		state := s.state(j)
+		s.rec.note("client", "GET %s%s, finish_s after the traffic: %s", j.Prefix, j.ID, state)
+		others[state]++
+	}
+	return len(t.accepted()) - len(left), others
+}
+
+// withTraffic plays small jobs after trouble was made, and judges LOST.
+func (s *system) withTraffic(length time.Duration, trouble func() error) verdict {
+	first := s.smallJob()
+	if s.submit(first) != 200 || s.await(first, "completed", 10*time.Second) != "completed" {
+		return verdict{err: errors.New("a first job did not complete")}
+	}
+	if err := trouble(); err != nil {
+		return verdict{err: err}
+	}
+	t := &traffic{}
+	t.run(s, length)
+	completed, others := t.settle(s)
+	s.rec.say("client", "%d jobs accepted, %d completed finish_s after the traffic, others %v", len(t.accepted()), completed, others)
+	return verdict{broken: s.idle(t.accepted())}
+}
+
+// playTimes hands in ordinary jobs that are to be repeated every ten minutes for four weeks, none of which is due.
+func playTimes(s *system, trouble bool) verdict {
+	return s.withTraffic(30*time.Second, func() error {
+		for range 16 {
+			j := job{Steps: []step{
+				{Count: 8, Cpu: 7000, MemMb: 13000, EstimateMs: 1700, workMs: 1700},
+				{Count: 8, Cpu: 7000, MemMb: 13000, EstimateMs: 1700, After: []int{0}, workMs: 1700},
+			}}
+			if trouble {
+				j.Times, j.IntervalMs, j.FirstMs = 4032, 600_000, time.Now().Add(10*time.Minute).UnixMilli()
+			}
+			sent := s.newJob("/pufi791/", j)
+			if status := s.submit(sent); status != 200 && !trouble {
+				return fmt.Errorf("a job is answered %d", status)
+			}
+		}
+		return nil
+	})
+}
+
+// playRecord hands in one job of which so many tasks run that its stored progress is larger than a value may be.
+func playRecord(s *system, trouble bool) verdict {
+	return s.withTraffic(30*time.Second, func() error {
+		if !trouble {
+			return nil
+		}
+		j := s.newJob("/pufi791/", job{Times: 3, IntervalMs: 1000, FirstMs: time.Now().UnixMilli(), Steps: []step{
+			{Count: 4096, Cpu: 50, MemMb: 64, EstimateMs: 60000, workMs: 60000},
+		}})
+		if status := s.submit(j); status != 200 {
+			return fmt.Errorf("the large job is answered %d", status)
+		}
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && s.store.refusals() == 0; time.Sleep(50 * time.Millisecond) {
+		}
+		s.rec.say("script", "%d tasks of the large job have started; the store has refused %d transactions", s.startsOf(j), s.store.refusals())
+		return nil
+	})
+}
+
+// playEnds freezes the owner while each minion runs more tasks than a list of ends has rows.
+func playEnds(s *system, trouble bool) verdict {
+	var near disturbed
+	for i, name := range []string{"the first job", "the second job"} {
+		j := s.newJob("/lohu930/", job{Steps: []step{{Count: 1920, Cpu: 100, MemMb: 128, EstimateMs: 1000, workMs: 1000}}})
+		if status := s.submit(j); status != 200 {
+			return verdict{err: fmt.Errorf("%s is answered %d", name, status)}
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && s.startsOf(j) < j.tasks(); time.Sleep(2 * time.Millisecond) {
+		}
+		s.rec.say("script", "%d of %d tasks of %s have started", min(s.startsOf(j), j.tasks()), j.tasks(), name)
+		if trouble && i == 0 {
+			owner := s.owner()
+			if owner == nil {
+				return verdict{err: errors.New("no owner")}
+			}
+			at := s.rec.now()
+			owner.freeze(4 * time.Second)
+			near = disturbed{{at, at + 4000}}
+		}
+		state := s.await(j, "completed", 30*time.Second)
+		s.rec.say("client", "%s is shown as %s after 30 s at most; its %d tasks were started %d times", name, state, j.tasks(), s.startsOf(j))
+		time.Sleep(8 * time.Second)
+	}
+	return verdict{broken: s.twice(near)}
+}
+
+func (s *system) startsOf(j *job) int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	n := 0
+	for _, st := range s.fleet.starts {
+		if st.task[:16] == j.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// mostRuns returns how often the task of the job was started that was started most often.
+func (s *system) mostRuns(j *job) int {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	runs, most := map[string]int{}, 0
+	for _, st := range s.fleet.starts {
+		if st.task[:16] == j.ID {
+			runs[st.task]++
+			most = max(most, runs[st.task])
+		}
+	}
+	return most
+}
+
+// playCut cuts a zone off whose minions run on, and plays ordinary jobs afterwards.
+func playCut(s *system, trouble bool) verdict {
+	var warm []*job // ordinary jobs, after which the minions are looked at at different times
+	for i := range 18 {
+		work := int64(600 + 53*i)
+		warm = append(warm, s.newJob("/pufi791/", job{Steps: []step{{Count: 32, Cpu: 2000, MemMb: 1024, EstimateMs: work, workMs: work}}}))
+		if status := s.submit(warm[i]); status != 200 {
+			return verdict{err: fmt.Errorf("a job is answered %d", status)}
+		}
+	}
+	for _, j := range warm {
+		if state := s.await(j, "completed", 10*time.Second); state != "completed" {
+			return verdict{err: fmt.Errorf("a job is shown as %s", state)}
+		}
+	}
+	long := s.newJob("/pufi791/", job{Steps: []step{{Count: 576, Cpu: 2000, MemMb: 1024, EstimateMs: 4300, workMs: 4300}}})
+	if status := s.submit(long); status != 200 {
+		return verdict{err: fmt.Errorf("the job is answered %d", status)}
+	}
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end) && s.startsOf(long) < long.tasks(); time.Sleep(5 * time.Millisecond) {
+	}
+	owner := s.owner()
+	if owner == nil {
+		return verdict{err: errors.New("no owner")}
+	}
+	var near disturbed
+	if trouble {
+		zone := ""
+		for _, z := range zones {
+			if z != owner.zone {
+				zone = z
+			}
+		}
+		at := s.rec.now()
+		s.rec.say("script", "%s is cut off", zone)
+		for _, m := range minionsOf {
+			if m.zone == zone {
+				m.cut()
+			}
+		}
+		time.Sleep(5900 * time.Millisecond)
+		for _, m := range minionsOf {
+			if m.zone == zone {
+				m.heal()
+			}
+		}
+		s.rec.say("script", "%s is back", zone)
+		near = disturbed{{at, s.rec.now()}}
+	}
+	s.rec.say("client", "the first job is shown as %s", s.await(long, "completed", 15*time.Second))
+	time.Sleep(5 * time.Second)
+	var jobs []*job
+	for range 7 {
+		j := s.newJob("/lohu930/", job{Steps: []step{{Count: 2304, Cpu: 500, MemMb: 256, EstimateMs: 700, workMs: 700}}})
+		if status := s.submit(j); status != 200 {
+			return verdict{err: fmt.Errorf("a job is answered %d", status)}
+		}
+		jobs = append(jobs, j)
+		time.Sleep(4 * time.Second)
+	}
+	time.Sleep(14 * time.Second)
+	states := map[string]int{}
+	starts, most := 0, 0
+	for _, j := range jobs {
+		states[s.state(j)]++
+		starts += s.startsOf(j)
+		most = max(most, s.mostRuns(j))
+	}
+	s.rec.say("client", "7 jobs of 2304 tasks are shown as %v finish_s after the traffic; their 16128 tasks were started %d times, one of them %d times", states, starts, most)
+	if owner := s.owner(); owner != nil { // planned work, in both variants
+		owner.term()
+	}
+	time.Sleep(10 * time.Second)
+	return verdict{broken: s.twice(near)}
+}
+
+// playRoute drops a queue while an accepted job of it runs, and stops the owner.
+func playRoute(s *system, trouble bool) verdict {
+	j := s.newJob("/pufi791/", job{Steps: []step{
+		{Count: 6, Cpu: 7000, MemMb: 13000, EstimateMs: 3000, workMs: 3000},
+		{Count: 6, Cpu: 7000, MemMb: 13000, EstimateMs: 3000, After: []int{0}, workMs: 3000},
+		{Count: 6, Cpu: 7000, MemMb: 13000, EstimateMs: 3000, After: []int{1}, workMs: 3000},
+	}})
+	if status := s.submit(j); status != 200 {
+		return verdict{err: fmt.Errorf("the job is answered %d", status)}
+	}
+	time.Sleep(time.Second)
+	s.configure(7, allRoutes()[:1])
+	time.Sleep(time.Second)
+	if owner := s.owner(); trouble && owner != nil {
+		owner.term()
+	}
+	time.Sleep(14 * time.Second)
+	broken := s.idle([]*job{j})
+	s.rec.say("client", "%d of the %d tasks of the job were started", s.startsOf(j), j.tasks())
+	return verdict{broken: broken}
+}
