--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,12 +31,12 @@
 }
 
 var cases = map[string]func(s *system, trouble bool) verdict{
-	"times": playTimes, "record": playRecord, "ends": playEnds, "cut": playCut, "route": playRoute,
+	"times": playTimes, "record": playRecord, "cut": playCut, "route": playRoute,
 }
 
 // sizes are the numbers of daemons and minions.
 var sizes = map[string][2]int{
-	"times": {3, 6}, "record": {3, 24}, "ends": {3, 3}, "cut": {3, 18}, "route": {3, 6},
+	"times": {3, 6}, "record": {3, 24}, "cut": {3, 18}, "route": {3, 6},
 }
 
 func main() {
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -99,7 +99,6 @@
 
 	gate   sync.Mutex
 	isCut  bool
-	isDown bool
 	healed chan struct{}
 	conns  map[net.Conn]bool
 }
@@ -254,46 +253,6 @@
 	}
 }
 
-// crash ends the minion with all that it runs. Until it is back, its connections are closed. It comes back
-// after pause, under the same ID.
-func (m *minion) crash(pause time.Duration) {
-	f := m.fleet
-	f.mu.Lock()
-	m.up = false
-	for _, r := range m.sorted() {
-		r.over = true
-		delete(f.active, r)
-		if r.spec.Gang {
-			others := f.gangs[r.gangKey()]
-			delete(f.gangs, r.gangKey())
-			for _, other := range others {
-				if other != r {
-					f.finish(other, "broken")
-				}
-			}
-		}
-	}
-	m.runs, m.ends = map[string]*run{}, nil
-	f.mu.Unlock()
-	m.refuseAll(true)
-	time.Sleep(pause)
-	f.mu.Lock()
-	m.born, m.fence, m.until, m.next, m.highest, m.up = time.Now(), 0, 0, 1, map[string]int{}, true
-	f.mu.Unlock()
-	m.refuseAll(false)
-}
-
-// refuseAll closes the minion's connections, also new ones, as those of a process that does not run.
-func (m *minion) refuseAll(closed bool) {
-	m.gate.Lock()
-	defer m.gate.Unlock()
-	m.isDown = closed
-	for c := range m.conns {
-		_ = c.Close()
-	}
-	m.conns = map[net.Conn]bool{}
-}
-
 func (m *minion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Task, Spec, Saved      string
@@ -503,9 +462,6 @@
 		return nil, err
 	}
 	l.m.gate.Lock()
-	if l.m.isDown {
-		_ = c.Close()
-	}
 	l.m.conns[c] = true
 	l.m.gate.Unlock()
 	return cutConn{c, l.m}, nil
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -238,38 +238,6 @@
 	}()
 }
 
-// kill ends the daemon with SIGKILL; the machine stays dark for the pause.
-func (n *node) kill(pause time.Duration) {
-	n.mu.Lock()
-	n.wanted = false
-	if n.cmd != nil {
-		_ = n.cmd.Process.Kill()
-	}
-	n.mu.Unlock()
-	n.sys.rec.say(n.name, "SIGKILL, dark for %v", pause)
-	time.AfterFunc(pause, func() {
-		if !n.sys.closed {
-			n.start()
-		}
-	})
-}
-
-// freeze stops the daemon and continues it after the pause.
-func (n *node) freeze(pause time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return
-	}
-	process := n.cmd.Process
-	_ = process.Signal(syscall.SIGSTOP)
-	n.sys.rec.say(n.name, "freezes for %v", pause)
-	time.AfterFunc(pause, func() {
-		_ = process.Signal(syscall.SIGCONT)
-		n.sys.rec.say(n.name, "wakes")
-	})
-}
-
 // term sends SIGTERM, as before planned work; the platform starts the daemon again.
 func (n *node) term() {
 	n.mu.Lock()
