Review case 4: a cap divided among shards that no task fits into

Cause: each shard has an equal part of a tenant's cap; if all have waiting tasks and no part fits one, none gives its part away.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,12 +31,13 @@
 }
 
 var cases = map[string]func(s *system, trouble bool) verdict{
-	"times": playTimes, "record": playRecord, "cut": playCut, "route": playRoute,
+	"times": playTimes, "record": playRecord, "cut": playCut, "cap": playCap,
 }
 
-// sizes are the numbers of daemons and minions.
-var sizes = map[string][2]int{
-	"times": {3, 6}, "record": {3, 24}, "cut": {3, 18}, "route": {3, 6},
+// deployments are the sizes of the cases.
+var deployments = map[string]deployment{
+	"times": {daemons: 3, minions: 6}, "record": {daemons: 3, minions: 24}, "cut": {daemons: 3, minions: 18},
+	"cap": {daemons: 3, minions: 606, shards: 3, tenants: []tenant{{Name: "north", ApiKeys: []string{"key-of-north"}, Weight: 5, Cap: map[string]int{"Cpu": 6000}}}},
 }
 
 func main() {
@@ -56,7 +57,7 @@
 		os.Exit(exitNotRun)
 	}
 	rec.say("script", "case %s, trouble %v", *name, trouble)
-	s, err := newSystem(rec, *root, sizes[*name][0], sizes[*name][1])
+	s, err := newSystem(rec, *root, deployments[*name])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(exitNotRun)
@@ -65,7 +66,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		if !s.awaitReady(15 * time.Second) {
+		if !s.awaitReady(25 * time.Second) {
 			done <- verdict{err: fmt.Errorf("the daemons are not ready")}
 			return
 		}
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -68,6 +68,7 @@
 type fleet struct {
 	rec    *record
 	store  *store
+	tick   time.Duration // how often a minion looks for runs that are done
 	mu     sync.Mutex
 	jobs   map[string]*job // by ID, as the clients sent them
 	starts []start
@@ -95,7 +96,6 @@
 	ends    []*end
 	next    int64
 	changed chan struct{}
-	up      bool
 
 	gate   sync.Mutex
 	isCut  bool
@@ -103,15 +103,15 @@
 	conns  map[net.Conn]bool
 }
 
-func newFleet(rec *record, s *store) *fleet {
-	return &fleet{rec: rec, store: s, jobs: map[string]*job{}, gangs: map[string][]*run{}, active: map[*run]bool{}}
+func newFleet(rec *record, s *store, minions int) *fleet {
+	return &fleet{rec: rec, store: s, tick: max(2*time.Millisecond, time.Duration(minions)*50*time.Microsecond), jobs: map[string]*job{}, gangs: map[string][]*run{}, active: map[*run]bool{}}
 }
 
 // add starts a minion at the address.
 func (f *fleet) add(id, addr, zone, rack string) (*minion, error) {
 	m := &minion{
 		fleet: f, id: id, addr: addr, zone: zone, rack: rack, kind: "a", cpu: minionCPU, mem: 250000, born: time.Now(),
-		runs: map[string]*run{}, highest: map[string]int{}, next: 1, changed: make(chan struct{}), up: true,
+		runs: map[string]*run{}, highest: map[string]int{}, next: 1, changed: make(chan struct{}),
 		healed: make(chan struct{}), conns: map[net.Conn]bool{},
 	}
 	l, err := net.Listen("tcp", addr)
@@ -126,17 +126,14 @@
 	return m, nil
 }
 
-// beat registers the minion.
+// beat registers the minion, and again when its entry is gone. The entry changes only when more than
+// Seq changes, so it stays as it is.
 func (m *minion) beat() {
-	for seq := 1; ; seq++ {
-		m.fleet.mu.Lock()
-		up, id, born := m.up, m.id, m.born
-		m.fleet.mu.Unlock()
-		if up {
-			m.fleet.store.put("servers/"+id, map[string]any{
+	for {
+		if key := "servers/" + m.id; m.fleet.store.get(key) == nil {
+			m.fleet.store.put(key, map[string]any{
 				"Service": serviceName, "Address": m.addr, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": "ready", "WarmupLeftMs": 0,
-				"Capacity": map[string]any{"Cpu": m.cpu, "MemMb": m.mem, "Gpu": 0}, "Labels": []string{m.kind, m.rack},
-				"ClockMs": m.clock(), "born": born.UnixMilli(), "Seq": seq,
+				"Capacity": map[string]any{"Cpu": m.cpu, "MemMb": m.mem, "Gpu": 0}, "Labels": []string{m.kind, m.rack}, "born": m.born.UnixMilli(), "Seq": 1,
 			})
 		}
 		time.Sleep(heartbeat)
@@ -151,7 +148,7 @@
 // tick ends runs that are done and kills all when the lease is over.
 func (m *minion) tick() {
 	for {
-		time.Sleep(2 * time.Millisecond)
+		time.Sleep(m.fleet.tick)
 		m.fleet.mu.Lock()
 		if len(m.runs) > 0 && m.clock() > m.until {
 			m.fleet.rec.note(m.id, "the lease ends with %d runs", len(m.runs))
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -66,6 +66,19 @@
 	return s.items[key].Value
 }
 
+// count returns the number of keys with the prefix.
+func (s *store) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *store) write(key string, value []byte, lease int64) {
 	created := s.revision
 	if old, ok := s.items[key]; ok {
--- a/review/stand/system.go
+++ b/review/stand/system.go
@@ -75,26 +75,47 @@
 
 // system is the deployment: the daemons, the store, the minions.
 type system struct {
-	rec    *record
-	root   string
-	dir    string
-	store  *store
-	fleet  *fleet
-	nodes  []*node
-	net    string // first three numbers of the loopback addresses
-	client *http.Client
-	closed bool
+	rec     *record
+	root    string
+	dir     string
+	store   *store
+	fleet   *fleet
+	nodes   []*node
+	net     string // first three numbers of the loopback addresses
+	client  *http.Client
+	shards  int // that must have an owner
+	tenants []tenant
+	key     string // of the client's tenant
+	closed  bool
+}
+
+// tenant is a tenant of the configuration.
+type tenant struct {
+	Name    string
+	ApiKeys []string
+	Weight  float64
+	Cap     map[string]int
+}
+
+// deployment is the size of a case's system.
+type deployment struct {
+	daemons, minions, shards int
+	tenants                  []tenant
 }
 
 // newSystem starts the store, the minions and the daemons.
-func newSystem(rec *record, root string, daemons, minions int) (*system, error) {
+func newSystem(rec *record, root string, d deployment) (*system, error) {
+	daemons, minions := d.daemons, d.minions
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{rec: rec, root: root, dir: dir, client: &http.Client{Timeout: 4 * time.Second}}
+	s := &system{rec: rec, root: root, dir: dir, shards: max(1, d.shards), tenants: d.tenants, client: &http.Client{Timeout: 4 * time.Second}}
+	if len(d.tenants) > 0 {
+		s.key = d.tenants[0].ApiKeys[0]
+	}
 	s.store = newStore(rec)
-	s.fleet = newFleet(rec, s.store)
+	s.fleet = newFleet(rec, s.store, minions)
 	// The deploy file's command has a fixed port for metrics, so each daemon gets an address of its own.
 	for try := 0; ; try++ {
 		s.net = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
@@ -117,7 +138,6 @@
 			return nil, err
 		}
 	}
-	minionsOf[0].kind = "b"
 	s.configure(1, allRoutes())
 	for i := range daemons {
 		n := &node{sys: s, name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1), ip: fmt.Sprintf("%s.%d", s.net, i+1), zone: zones[i%len(zones)]}
@@ -135,7 +155,7 @@
 var minionsOf []*minion
 
 func (s *system) addMinion(i int) (*minion, error) {
-	m, err := s.fleet.add(fmt.Sprintf("i-7f3a91%02x", i), fmt.Sprintf("%s.%d:0", s.net, 100+i%100), zones[i%len(zones)], fmt.Sprintf("r%d-1", i%len(zones)))
+	m, err := s.fleet.add(fmt.Sprintf("i-7f3a9%03x", i), fmt.Sprintf("%s.%d:0", s.net, 100+i%100), zones[i%len(zones)], fmt.Sprintf("r%d-1", i%len(zones)))
 	if err == nil {
 		minionsOf = append(minionsOf, m)
 	}
@@ -162,6 +182,7 @@
 	s.store.put("op/config", map[string]any{
 		"Version": version, "Routes": routes,
 		"Services": []map[string]any{{"Name": serviceName, "HealthPath": "/healthz", "MaxConns": 64, "Protocol": "h1", "Tls": false, "RejectsOverload": true, "Spare": false}},
+		"Tenants":  s.tenants,
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 	s.rec.note("operator", "version %d of the configuration is acknowledged", version)
@@ -323,7 +344,7 @@
 func (s *system) awaitReady(limit time.Duration) bool {
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
-		all := s.owner() != nil
+		all := s.store.count("Dotter/Head/") == s.shards
 		for _, n := range s.nodes {
 			n.mu.Lock()
 			all = all && n.ready
@@ -366,6 +387,9 @@
 	}
 	r.Host = hostName
 	r.Header.Set("Deadline-Ms", "3000")
+	if s.key != "" {
+		r.Header.Set("X-Api-Key", s.key)
+	}
 	r.Header.Set("Content-Type", "application/json")
 	answer, err := s.client.Do(r)
 	if err != nil {
