--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -9,13 +9,13 @@
 
 var normal = room{64000, 256000, 0}
 
-// deploy starts nodes in two zones and n minions, of which the first special ones are of kind "b".
+// deploy starts nodes in two zones and n minions, of which the first special ones are of kinds of their own, "b", "c" and so on.
 func (w *world) deploy(nodes, n, special int, guards bool) error {
 	w.configure(1, guards, quick)
 	for i := range n {
 		kind, zone := "a", "za"
 		if i < special {
-			kind = "b"
+			kind = string(rune('b' + i))
 		}
 		if i%2 == 1 {
 			zone = "zb"
@@ -95,33 +95,37 @@
 	return nil
 }
 
-// flap lets one minion of 30, the only one with label "b", go down and up by turns, with a period of 1 s for 5.8 s.
+// flap lets two minions of 60, each the only one with its label, go down and up by turns, with a period of 1 s for 5.8 s.
 func flap(w *world) error {
-	if err := w.deploy(3, 30, 1, true); err != nil {
+	if err := w.deploy(3, 60, 2, true); err != nil {
 		return err
 	}
-	lasting := &job{Spec: "lasting", Steps: []*step{{Count: 1, LongRunning: true, Cpu: 1000, MemMb: 100, RequiredLabel: "b"}}}
-	batch := &job{Spec: "batch", Steps: []*step{{Count: 1, Cpu: 1000, MemMb: 100, EstimateMs: 2000, RequiredLabel: "b", workMs: 2000}}}
 	others := &job{Spec: "others", Steps: []*step{{Count: 40, Cpu: 1000, MemMb: 100, EstimateMs: 2000, workMs: 2000}, {Count: 40, Cpu: 1000, MemMb: 100, EstimateMs: 2000, workMs: 2000, After: []int{0}}}}
-	all := []*job{lasting, batch, others}
+	all := []*job{others}
+	for _, m := range w.minions[:2] {
+		all = append(all, &job{Spec: "lasts on " + m.kind, Steps: []*step{{Count: 1, LongRunning: true, Cpu: 1000, MemMb: 100, RequiredLabel: m.kind}}})
+	}
 	for _, j := range all {
 		if !w.submit(quick, j) {
 			return errors.New("a job was not accepted")
 		}
 	}
 	time.Sleep(300 * time.Millisecond)
-	m := w.minions[0]
 	if w.trouble {
-		for end := time.Now().Add(6500 * time.Millisecond); time.Now().Before(end); {
-			m.crash()
-			time.Sleep(700 * time.Millisecond)
-			m.rename()
-			if err := m.start(); err != nil {
-				return err
+		for end := time.Now().Add(5800 * time.Millisecond); time.Now().Before(end); {
+			for _, m := range w.minions[:2] {
+				m.crash()
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range w.minions[:2] {
+				m.rename()
+				if err := m.start(); err != nil {
+					return err
+				}
 			}
-			time.Sleep(700 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
 		}
-		w.rec.line("minion %s stays up from now on", m.id)
+		w.rec.line("all minions stay up from now on")
 	}
 	return w.await(all, 20*time.Second)
 }
@@ -153,9 +157,9 @@
 	return nil
 }
 
-// kind lets three of 20 minions crash and come back under their ids, two of them as machines of another kind.
+// kind lets three of 22 minions crash and come back under their ids, as machines of another kind.
 func kind(w *world) error {
-	if err := w.deploy(3, 20, 0, true); err != nil {
+	if err := w.deploy(3, 22, 0, true); err != nil {
 		return err
 	}
 	// More work than fits, so that tasks wait for room.
@@ -174,17 +178,14 @@
 			m.crash()
 		}
 		time.Sleep(time.Second)
-		for i, m := range three {
+		for _, m := range three {
 			m.mu.Lock()
-			if i > 0 {
-				m.kind = "b"
-			}
+			m.kind = "b"
 			m.mu.Unlock()
-			go func() {
-				if err := m.start(); err != nil {
-					w.rec.line("minion %s: %v", m.id, err)
-				}
-			}()
+			if err := m.start(); err != nil { // registers, and then serves
+				return err
+			}
+			time.Sleep(40 * time.Millisecond)
 		}
 	}
 	return w.await(all, 30*time.Second)
@@ -200,18 +201,7 @@
 		return errors.New("the job was not accepted")
 	}
 	if w.trouble {
-		var m *minion
-		for range 500 {
-			if runs := w.truth.of(name(j.id, 0, 0, 0)); len(runs) > 0 {
-				for _, x := range w.minions {
-					if x.id == runs[0].minion {
-						m = x
-					}
-				}
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
+		m := w.minionOf(name(j.id, 0, 0, 0))
 		if m == nil {
 			return errors.New("the gang has not started")
 		}
@@ -254,3 +244,63 @@
 	}
 	return nil
 }
+
+// greyGang hands in a gang, and lets the minion on which most of it runs fail all that it runs.
+func greyGang(w *world) error {
+	if err := w.deploy(3, 20, 0, true); err != nil {
+		return err
+	}
+	j := &job{Spec: "gang", Steps: []*step{{Count: 6, Gang: true, Cpu: 2000, MemMb: 100, EstimateMs: 2000, workMs: 2000}}}
+	if !w.submit(quick, j) {
+		return errors.New("the job was not accepted")
+	}
+	if w.trouble {
+		m := w.minionOf(name(j.id, 0, 0, 0))
+		if m == nil {
+			return errors.New("the gang has not started")
+		}
+		time.Sleep(time.Second)
+		m.turnGrey(3 * time.Second)
+	}
+	for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		switch s := w.stateAnywhere(j); s {
+		case "completed":
+			return nil
+		case "failed":
+			most, failed := 0, map[int]bool{}
+			for i := range j.Steps[0].Count {
+				n := 0
+				for _, x := range w.truth.of(name(j.id, 0, 0, i)) {
+					if x.how == "failed" {
+						n++
+						failed[x.run] = true
+					}
+				}
+				most = max(most, n)
+			}
+			w.rec.line("client: GET %s: failed; %d runs of the gang and at most %d runs of one task have ended failed, MaxAttempts is %d", j.id, len(failed), most, quick.MaxAttempts)
+			if len(failed) < quick.MaxAttempts && most < quick.MaxAttempts {
+				w.truth.mu.Lock()
+				defer w.truth.mu.Unlock()
+				w.truth.broken("LOST", "job %s is shown as failed after %d runs of its gang have ended failed, at most %d of one task; MaxAttempts is %d", j.id, len(failed), most, quick.MaxAttempts)
+			}
+			return nil
+		}
+	}
+	return errors.New("the job has not ended")
+}
+
+// minionOf waits until the task has started, and returns its minion, nil if it does not start.
+func (w *world) minionOf(task string) *minion {
+	for range 500 {
+		if runs := w.truth.of(task); len(runs) > 0 {
+			for _, x := range w.minions {
+				if x.id == runs[0].minion {
+					return x
+				}
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -20,6 +20,7 @@
 	"flap":  flap,
 	"kind":  kind,
 	"chaos": chaos,
+	"grey":  greyGang,
 	"gang":  wideGang,
 }
 
--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -73,7 +73,7 @@
 	noted    chan struct{}  // closed when a run ends
 	server   *http.Server
 	seq      int
-	silent   bool // whether a crash leaves its connections open without an answer
+	grey     bool // whether it fails all that it runs
 }
 
 // clock returns the time on the minion's own clock, which starts anew with each life.
@@ -320,6 +320,9 @@
 	r := &run{task: o.Task, number: o.Run, step: s, begun: time.Now(), saved: o.Saved}
 	m.running[key] = r
 	m.world.truth.start(m, r, o)
+	if m.grey {
+		m.endAfter(r, 100*time.Millisecond, "failed")
+	}
 	if s.Gang {
 		m.world.gangs.join(m, r)
 	} else if !s.LongRunning {
@@ -328,6 +331,23 @@
 	m.answer(w, "")
 }
 
+// turnGrey makes the minion fail all that it runs, now and until it is well again. It still answers and sends heartbeats.
+func (m *minion) turnGrey(length time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.grey = true
+	m.world.rec.line("minion %s: unhealthy, fails all that it runs", m.id)
+	for _, r := range m.running {
+		m.finish(r, "failed")
+	}
+	time.AfterFunc(length, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.grey = false
+		m.world.rec.line("minion %s: healthy again", m.id)
+	})
+}
+
 // endAfter ends the run after its work, unless something else ends it before.
 func (m *minion) endAfter(r *run, work time.Duration, how string) {
 	time.AfterFunc(work, func() {
