--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -74,6 +74,8 @@
 	server   *http.Server
 	seq      int
 	grey     bool // whether it fails all that it runs
+	cut      bool // whether the system's calls don't reach it
+	leaves   bool // whether it drains
 }
 
 // clock returns the time on the minion's own clock, which starts anew with each life.
@@ -93,7 +95,7 @@
 	m.up, m.born = true, time.Now()
 	m.fence, m.lease, m.lastEnd, m.ended = 0, 0, 0, nil
 	m.running, m.refused, m.noted = map[string]*run{}, map[string]int{}, make(chan struct{})
-	m.seq = 0
+	m.seq, m.grey, m.leaves = 0, false, false
 	life := m.life
 	m.mu.Unlock()
 	m.register(life)
@@ -148,8 +150,12 @@
 		return
 	}
 	m.seq++
+	state := "ready"
+	if m.leaves {
+		state = "draining"
+	}
 	entry := map[string]any{
-		"Service": m.service, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": "ready", "WarmupLeftMs": 0,
+		"Service": m.service, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": state, "WarmupLeftMs": 0,
 		"Capacity": m.capacity, "Labels": []string{m.kind, m.rack}, "ClockMs": m.clock().Milliseconds(), "Seq": m.seq, "born": m.born.UnixMilli(),
 	}
 	m.mu.Unlock()
@@ -227,9 +233,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	m.mu.Lock()
-	alive := m.up && m.life == life
+	alive, cut := m.up && m.life == life, m.cut
 	m.mu.Unlock()
-	if !alive {
+	if cut {
+		<-r.Context().Done()
+	}
+	if !alive || cut {
 		panic(http.ErrAbortHandler)
 	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != m.id {
@@ -426,6 +435,12 @@
 		case <-r.Context().Done():
 		}
 		m.mu.Lock()
+		if m.cut {
+			m.mu.Unlock()
+			<-r.Context().Done()
+			m.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
 		if !m.up || m.life != life {
 			panic(http.ErrAbortHandler)
 		}
