--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 )
 
@@ -11,12 +12,19 @@
 
 // deploy starts nodes in two zones and n minions, of which the first special ones are of kinds of their own, "b", "c" and so on.
 func (w *world) deploy(nodes, n, special int, guards bool) error {
-	w.configure(1, guards, quick)
-	for i := range n {
-		kind, zone := "a", "za"
+	return w.deployKinds(nodes, n, guards, func(i int) string {
 		if i < special {
-			kind = string(rune('b' + i))
+			return string(rune('b' + i))
 		}
+		return "a"
+	})
+}
+
+// deployKinds is deploy with the kinds of the minions given.
+func (w *world) deployKinds(nodes, n int, guards bool, kindOf func(i int) string) error {
+	w.configure(1, guards, quick)
+	for i := range n {
+		kind, zone := kindOf(i), "za"
 		if i%2 == 1 {
 			zone = "zb"
 		}
@@ -304,3 +312,50 @@
 	}
 	return nil
 }
+
+// shards hands in a job of 600 tasks on a service of 602 minions, which the system divides into two shards, and kills the
+// owner of the job's shard while the job runs.
+func shards(w *world) error {
+	normal = room{4000, 16000, 0}
+	kinds := func(i int) string {
+		if i < 40 {
+			return "b"
+		}
+		return "a"
+	}
+	if err := w.deployKinds(4, 602, true, kinds); err != nil {
+		return err
+	}
+	j := &job{Spec: "wide", Steps: []*step{{Count: 600, Cpu: 1000, MemMb: 100, EstimateMs: 400, RequiredLabel: "b", workMs: 400}}}
+	if !w.submit(quick, j) {
+		return errors.New("the job was not accepted")
+	}
+	m := w.minionOf(name(j.id, 0, 0, 0))
+	if m == nil {
+		return errors.New("the job has not started")
+	}
+	if w.trouble {
+		for w.truth.dones(j) < 300 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		n := w.ownerOf(m.zone)
+		if n == nil {
+			return errors.New("no owner of the shard is known")
+		}
+		n.signal(syscall.SIGKILL)
+		<-n.done
+		time.Sleep(3 * time.Second)
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if s := w.stateAnywhere(j); s == "completed" {
+			w.rec.line("client: GET %s: %s", j.id, s)
+			break
+		}
+	}
+	time.Sleep(2 * time.Second)
+	w.truth.judge()
+	return nil
+}
--- a/review/stage/chaos.go
+++ b/review/stage/chaos.go
@@ -14,15 +14,26 @@
 func chaos(w *world) error {
 	seed, _ := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
 	r := rand.New(rand.NewSource(seed))
-	narrow := os.Getenv("NARROW") != ""
+	narrow, wide := os.Getenv("NARROW") != "", os.Getenv("WIDE") != ""
 	kinds := strings.Split(os.Getenv("KINDS"), ",")
 	guards, version := r.Intn(2) == 0, 1
-	if err := w.deploy(3, 14, 3, guards); err != nil {
+	nodes, minions := 3, 14
+	if wide {
+		nodes, minions, normal = 4, 640, room{4000, 16000, 0}
+	}
+	kindOf := func(i int) string {
+		if i < 3 || wide && i < 60 {
+			return "b"
+		}
+		return "a"
+	}
+	if err := w.deployKinds(nodes, minions, guards, kindOf); err != nil {
 		return err
 	}
 	var jobs []*job
 	cancelled := map[*job]time.Time{}
 	began := time.Now()
+	most := 3
 	const length = 45 * time.Second
 	next := began.Add(2 * time.Second)
 	heal := func(after time.Duration, f func()) { time.AfterFunc(after, f) }
@@ -38,6 +49,15 @@
 		if len(jobs) < 400 {
 			j := randomJob(r)
 			for _, s := range j.Steps {
+				if wide {
+					s.Cpu, s.Count = min(s.Cpu, 3500), min(120, s.Count*(1+r.Intn(12)))
+					if s.RequiredLabel != "" {
+						s.Cpu, s.Count = min(s.Cpu, 1000), min(s.Count, 60)
+					}
+					if j.Times > 0 {
+						j.Times, s.Count = min(j.Times, 4), min(s.Count, 20)
+					}
+				}
 				if narrow {
 					s.Count = min(s.Count, 8)
 				}
@@ -64,6 +84,13 @@
 		next = time.Now().Add(time.Duration(300+r.Intn(3000)) * time.Millisecond)
 		k := kinds[r.Intn(len(kinds))]
 		o := w.owner()
+		if wide {
+			n := 1 + r.Intn(20)
+			if k == "crash" || k == "reborn" || k == "cut" {
+				w.rec.line("%d minions: %s", n, k)
+			}
+			most = n
+		}
 		if o == nil || r.Intn(4) == 0 {
 			o = w.nodes[r.Intn(len(w.nodes))]
 		}
@@ -95,7 +122,7 @@
 				}
 			}
 		case "crash", "reborn":
-			for range 1 + r.Intn(3) {
+			for range 1 + r.Intn(most) {
 				m := w.minions[r.Intn(len(w.minions))]
 				m.mu.Lock()
 				up := m.up
@@ -112,7 +139,7 @@
 				})
 			}
 		case "cut":
-			for range 1 + r.Intn(3) {
+			for range 1 + r.Intn(most) {
 				m := w.minions[r.Intn(len(w.minions))]
 				if !free(m.address, 13*time.Second) {
 					continue
--- a/review/stage/jobs.go
+++ b/review/stage/jobs.go
@@ -279,6 +279,22 @@
 	return time.Since(last)
 }
 
+// dones returns how many tasks of the job have ended done.
+func (t *truth) dones(j *job) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for task, runs := range t.runs {
+		for _, x := range runs {
+			if x.how == "done" && t.world.jobOf(task) == j {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
 // of returns the runs of a task.
 func (t *truth) of(task string) []started {
 	t.mu.Lock()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,12 +16,13 @@
 
 // cases are the cases by name. Each returns the rule that it is about.
 var cases = map[string]func(w *world) error{
-	"edge":  edge,
-	"flap":  flap,
-	"kind":  kind,
-	"chaos": chaos,
-	"grey":  greyGang,
-	"gang":  wideGang,
+	"edge":   edge,
+	"flap":   flap,
+	"kind":   kind,
+	"chaos":  chaos,
+	"shards": shards,
+	"grey":   greyGang,
+	"gang":   wideGang,
 }
 
 // limit is the longest time that a case may take.
--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -73,9 +73,10 @@
 	noted    chan struct{}  // closed when a run ends
 	server   *http.Server
 	seq      int
-	grey     bool // whether it fails all that it runs
-	cut      bool // whether the system's calls don't reach it
-	leaves   bool // whether it drains
+	told     string // the state in its entry; empty: it has none in this life
+	grey     bool   // whether it fails all that it runs
+	cut      bool   // whether the system's calls don't reach it
+	leaves   bool   // whether it drains
 }
 
 // clock returns the time on the minion's own clock, which starts anew with each life.
@@ -95,7 +96,7 @@
 	m.up, m.born = true, time.Now()
 	m.fence, m.lease, m.lastEnd, m.ended = 0, 0, 0, nil
 	m.running, m.refused, m.noted = map[string]*run{}, map[string]int{}, make(chan struct{})
-	m.seq, m.grey, m.leaves = 0, false, false
+	m.seq, m.grey, m.leaves, m.told = 0, false, false, ""
 	life := m.life
 	m.mu.Unlock()
 	m.register(life)
@@ -142,7 +143,7 @@
 	return "127.0.0.1:0"
 }
 
-// register writes the minion's entry.
+// register writes the minion's entry. A heartbeat that changes nothing but Seq leaves the entry as it is.
 func (m *minion) register(life int) {
 	m.mu.Lock()
 	if !m.up || m.life != life || m.address == "" {
@@ -154,6 +155,11 @@
 	if m.leaves {
 		state = "draining"
 	}
+	if state == m.told {
+		m.mu.Unlock()
+		return
+	}
+	m.told = state
 	entry := map[string]any{
 		"Service": m.service, "Address": m.address, "Zone": m.zone, "Version": "v1", "Slots": 8, "State": state, "WarmupLeftMs": 0,
 		"Capacity": m.capacity, "Labels": []string{m.kind, m.rack}, "ClockMs": m.clock().Milliseconds(), "Seq": m.seq, "born": m.born.UnixMilli(),
--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -249,12 +250,15 @@
 	}
 }
 
-// owner returns the node whose name the head of the only shard holds, or nil.
-func (w *world) owner() *node {
+// owner returns the node whose name the head of any shard holds, or nil.
+func (w *world) owner() *node { return w.ownerOf("") }
+
+// ownerOf returns the node whose name the head of the shard holds, of any shard if that is empty, or nil.
+func (w *world) ownerOf(shard string) *node {
 	w.store.mu.Lock()
 	defer w.store.mu.Unlock()
 	for key, i := range w.store.items {
-		if len(key) < 12 || key[:12] != "Dotter/Head/" {
+		if !strings.HasPrefix(key, "Dotter/Head/"+shard) {
 			continue
 		}
 		var head struct{ Host string }
