--- a/review/stage/minion.go
+++ b/review/stage/minion.go
@@ -260,6 +260,7 @@
 	alive := m.up && m.life == life
 	m.mu.Unlock()
 	if alive {
+		defer func() { _ = recover() }() // a hold that is aborted has nobody to tell
 		m.world.rec.line("minion %s: late order %s %s run %d", m.id, r.URL.Path, o.Task, o.Run)
 		f(discard{}, r, o)
 	}
