--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 	echo "not built" >&2
 	exit 2
 fi
-exec "$root/review/bin/stage" flap "$root" "$here"
+exec "$root/review/bin/stage" grey "$root" "$here"
