--- a/review/stage/chaos.go
+++ b/review/stage/chaos.go
@@ -48,6 +48,13 @@
 	for time.Since(began) < length {
 		if len(jobs) < 400 {
 			j := randomJob(r)
+			if os.Getenv("MANY") != "" { // scheduled jobs of more than 512 tasks in all
+				j = randomSchedule(r)
+				if len(jobs) >= 12 {
+					time.Sleep(200 * time.Millisecond)
+					goto disturb
+				}
+			}
 			for _, s := range j.Steps {
 				if wide {
 					s.Cpu, s.Count = min(s.Cpu, 3500), min(120, s.Count*(1+r.Intn(12)))
@@ -77,6 +84,7 @@
 				}
 			}
 		}
+	disturb:
 		time.Sleep(time.Duration(50+r.Intn(200)) * time.Millisecond)
 		if time.Now().Before(next) || time.Since(began) > length-10*time.Second {
 			continue
@@ -318,3 +326,19 @@
 	}
 	return j
 }
+
+// randomSchedule returns a job of many small occurrences.
+func randomSchedule(r *rand.Rand) *job {
+	j := &job{Spec: fmt.Sprint("t", r.Intn(1000)), Times: 60 + r.Intn(60), FirstMs: time.Now().UnixMilli() + int64(r.Intn(2000)), IntervalMs: int64(100 + r.Intn(300))}
+	for i := range 1 + r.Intn(3) {
+		s := &step{Count: 4 + r.Intn(8), Cpu: int64(100 + r.Intn(900)), MemMb: 10, workMs: int64(50 + r.Intn(900))}
+		s.EstimateMs = s.workMs
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		s.Gang = r.Intn(4) == 0
+		s.Checkpointing = !s.Gang && r.Intn(3) == 0
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
