--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -134,28 +134,38 @@
 	return m, m.start()
 }
 
-// freePort returns a port that is free on ip.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return 0, err
+// Ports of nodes lie below those that the kernel gives to outgoing connections, so that a node can listen on its own again.
+const (
+	firstPort = 12000
+	lastPort  = 28000
+)
+
+// freePorts returns n ports that are free on ip.
+func (w *world) freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for try := 0; len(ports) < n; try++ {
+		port := firstPort + w.random.Intn(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+		if err != nil {
+			if try > 1000 {
+				return nil, err
+			}
+			continue
+		}
+		defer func() { _ = l.Close() }() // until all are chosen
+		ports = append(ports, port)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // addNode makes a node of the system, with an address of its own on the loopback net.
 func (w *world) addNode(name, zone string) (*node, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+w.random.Intn(250), 1+w.random.Intn(250), 1+w.random.Intn(250))
 	n := &node{world: w, name: name, ip: ip, zone: zone, settings: filepath.Join(w.dir, name+".json")}
-	var ports [5]int
-	for i := range ports {
-		var err error
-		if ports[i], err = freePort(ip); err != nil {
-			return nil, err
-		}
+	ports, err := w.freePorts(ip, 3)
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	if n.store, err = w.store.listen(ip, func() string { how, _ := n.trouble.Load().(string); return how }); err != nil {
 		return nil, err
 	}
