Handovers of whole jobs log and count done tasks on both sides

"tasks handed over" counted the tasks that wait, "tasks absorbed" all that arrived, and none of the three could be told from the others, nor from a caller that submits a job twice. Change: "tasks handed over" has Done (known here) and DoneRecorded (in the transfer), "tasks absorbed" has Done (in what arrived); dotterelusher_done_tasks_handed_over_total{shard,direction} counts Sent and Received.

--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -25,6 +25,8 @@
 	Crashes        int64                       // crashes of workers that were counted against a task
 	HandedOver     int64                       // tasks handed over to other shards
 	Absorbed       int64                       // tasks taken from other shards
+	DoneHandedOver int64                       // done tasks of jobs that were handed over to another home
+	DoneAbsorbed   int64                       // tasks that transfers from other shards show as done
 	Relief         map[dotterrelief.Kind]int64 // actions on filling tasks for serving ones
 	Granted        int64                       // parts of tenants' caps given to other shards
 	Held           int64                       // steps that the cap of their tenant has held
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -193,6 +193,18 @@
 	}
 }
 
+// countDone returns how many of the job's tasks are done, in open occurrences and in earlier ones.
+func (j *job) countDone() int {
+	n := 0
+	j.doneOccurrences(func(int) { n += j.perOccurrence })
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			n += s.done
+		}
+	}
+	return n
+}
+
 // criticalPathFrom returns the length of the longest chain of dependent steps that begins
 // with the step of the given number, as the sum of their estimates.
 func criticalPathFrom(steps []dotterjob.Step, number int) dotterclock.Millis {
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -77,11 +77,32 @@
 func (b *Board) send(j *job, t *Transfer, tasks int) {
 	j.outgoing = append(j.outgoing, t)
 	b.counters.HandedOver += int64(tasks)
+	done := 0
+	if t.Home {
+		done = j.countDone()
+	}
+	b.counters.DoneHandedOver += int64(done)
 	b.logger.Info("tasks handed over", zap.String("Job", string(j.ID)), zap.String("To", t.To), zap.Bool("Home", t.Home),
-		zap.Int("Tasks", tasks), zap.Int("Moves", j.moves))
+		zap.Int("Tasks", tasks), zap.Int("Done", done), zap.Int("DoneRecorded", countDoneRecorded(j.Job, t.Record.Steps)), zap.Int("Moves", j.moves))
 	b.markDirty(j)
 }
 
+// countDoneRecorded returns how many tasks of the job the records of its steps show as done.
+func countDoneRecorded(j dotterjob.Job, steps []StepRecord) int {
+	n := 0
+	for _, s := range steps {
+		if s.Done {
+			n += j.Steps[s.Step].Count
+		}
+		for _, t := range s.Tasks {
+			if t.Done {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // hasTasks reports whether any task of the job is in this shard.
 func (j *job) hasTasks() bool {
 	has := j.isWaiting()
@@ -140,7 +161,10 @@
 	}
 	j.incoming = append(j.incoming, incoming{key: key, parts: parts})
 	b.counters.Absorbed += int64(count)
-	b.logger.Info("tasks absorbed", zap.String("Job", string(j.ID)), zap.String("Key", key), zap.Bool("Home", t.Home), zap.Int("Tasks", count))
+	done := countDoneRecorded(j.Job, t.Record.Steps)
+	b.counters.DoneAbsorbed += int64(done)
+	b.logger.Info("tasks absorbed", zap.String("Job", string(j.ID)), zap.String("Key", key), zap.Bool("Home", t.Home),
+		zap.Int("Tasks", count), zap.Int("Done", done), zap.Int("Moves", j.moves))
 	b.markDirty(j)
 	b.applyCancellation(now, j.ID)
 }
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -27,6 +27,7 @@
 	outcomes    *prometheus.Desc
 	resolved    *prometheus.Desc
 	transferred *prometheus.Desc
+	doneMoved   *prometheus.Desc
 	excluded    *prometheus.Desc
 	rejected    *prometheus.Desc
 	relief      *prometheus.Desc
@@ -65,6 +66,7 @@
 		outcomes:    desc("jobs_ended_total", "Jobs decided, by outcome.", "shard", "outcome"),
 		resolved:    desc("runs_resolved_total", "Runs whose end was not reported, by how it was found out.", "shard", "how"),
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
+		doneMoved:   desc("done_tasks_handed_over_total", "Done tasks of jobs that were handed over between this shard and others, by direction.", "shard", "direction"),
 		relief:      desc("relief_actions_total", "Orders to filling tasks for serving tasks beside them and restarts of serving tasks, by action.", "shard", "action"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		reserved:    desc("reservations_total", "Reservations of room for large tasks, by what became of them.", "shard", "outcome"),
@@ -130,6 +132,8 @@
 		counter(c.resolved, s.Lost, shard, "Lost")
 		counter(c.transferred, s.HandedOver, shard, "Sent")
 		counter(c.transferred, s.Absorbed, shard, "Received")
+		counter(c.doneMoved, s.DoneHandedOver, shard, "Sent")
+		counter(c.doneMoved, s.DoneAbsorbed, shard, "Received")
 		counter(c.excluded, s.Excluded, shard)
 		counter(c.rejected, s.Rejected, shard)
 		counter(c.crashes, s.Crashes, shard)
