Done tasks of a part that is done as a whole stay done in another shard

Cause: a record leaves out tasks in their initial state, and took run number 0 for it. A part that is done as a whole is stored without run numbers, so its restored tasks have 0, and the transfer of the whole job left them out. Evidence: the sender knew 363 done tasks and wrote 107, the receiver took in 107; the difference is four parts of 64. Change: a task that is done or away is never left out, whatever its run number. Transfers of whole jobs say with Complete that what they leave out has never started; without it, the done parts that an earlier version left out are inferred where a later task has started. Reading is unchanged.

--- a/internal/job/dotterboard/part_test.go
+++ b/internal/job/dotterboard/part_test.go
@@ -239,3 +239,191 @@
 		})
 	}
 }
+
+// replaceOwner replaces the owner of a shard by one that knows which failure domains are out.
+func (f *federation) replaceOwner(shard string) {
+	f.shards[shard].takeOver(0)
+	f.setOut(shard, f.out[shard])
+}
+
+// move puts a shard out of service until another one is the home of the job and has started some of it.
+func (f *federation) move(id dotterjob.ID, from string) {
+	starts := f.pool.Starts(id)
+	f.setOut(from, true)
+	f.until(10_000, func() bool { return f.homes[id] != from && f.pool.Starts(id) > starts+20 })
+	f.setOut(from, false)
+}
+
+// TestDoneTasksStayDoneInAnotherShard guards against done tasks that start again, because the owner that hands
+// their job over has restored them from a part that was done as a whole.
+func TestDoneTasksStayDoneInAnotherShard(t *testing.T) {
+	after := tasks(80, 200)
+	after.After = []int{0}
+	tests := map[string]struct {
+		times    int // 0: once
+		steps    []dotterjob.Step
+		oneBatch bool // of the sender around the handover
+		disturb  func(f *federation, id dotterjob.ID)
+	}{
+		"no takeover": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) { f.move(id, "a") }},
+		"takeover before": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+		}},
+		"two takeovers before": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.run(500)
+			f.replaceOwner("a")
+			f.move(id, "a")
+		}},
+		"takeover before, the store is away around the handover": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.setOut("a", true)
+			f.run(300)
+			f.shards["a"].storeUp = false
+			f.run(700)
+			f.replaceOwner("a")
+			f.shards["a"].storeUp = true
+			f.move(id, "a")
+		}},
+		"takeovers before and after": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+			f.replaceOwner("b")
+			f.replaceOwner("a")
+		}},
+		"takeovers between commits": {oneBatch: true, steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.setOut("a", true)
+			for range 100 {
+				f.run(20)
+				f.replaceOwner("a")
+				f.run(20)
+				f.replaceOwner("b")
+			}
+			f.setOut("a", false)
+		}},
+		"handed back": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+			f.replaceOwner("b")
+			f.move(id, "b")
+			f.replaceOwner("a")
+		}},
+		"a step waits for it": {steps: []dotterjob.Step{tasks(600, 300), after}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+		}},
+		"the step after it": {steps: []dotterjob.Step{tasks(100, 100), {Count: 500, Estimate: 300, Size: tasks(1, 1).Size, After: []int{0}}}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+		}},
+		"schedule wider than a part": {times: 6, steps: []dotterjob.Step{tasks(100, 100)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+		}},
+		"cancelled afterwards": {steps: []dotterjob.Step{tasks(600, 300)}, disturb: func(f *federation, id dotterjob.ID) {
+			f.replaceOwner("a")
+			f.move(id, "a")
+			f.cancel(id)
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFederation(t, map[string]int{"a": 3, "b": 6})
+			id := f.shards["a"].schedule(1, tc.times, f.clock.Now(), 100, tc.steps...)
+			f.homes[id] = "a"
+			f.until(10_000, func() bool { return f.pool.Starts(id) > 300 })
+			for _, s := range f.shards {
+				s.oneBatch = tc.oneBatch
+			}
+			tc.disturb(f, id)
+			for _, s := range f.shards {
+				s.oneBatch = false
+			}
+			want, total := dotterjob.Completed, 0
+			for _, step := range tc.steps {
+				total += max(1, tc.times) * step.Count
+			}
+			if _, cancelled := f.cancelled[id]; cancelled {
+				want = dotterjob.Cancelled
+			}
+			f.until(20_000, func() bool { return f.state(id) == want })
+			f.run(1000)
+			if want == dotterjob.Completed {
+				assert.Equal(t, total, f.pool.Starts(id), "starts of %d tasks, none of which was lost", total)
+			}
+			assert.Empty(t, f.runningIn(id))
+			for _, s := range f.shards {
+				assert.Empty(t, s.parts, "parts of a job with a final state")
+			}
+			f.requireNoViolations()
+		})
+	}
+}
+
+// TestTransferShowsDoneTasksOfDonePart guards against the same in the transfer itself.
+func TestTransferShowsDoneTasksOfDonePart(t *testing.T) {
+	s := newShard(t, 12)
+	j := s.job(testQueue, 1, 0, []dotterjob.Step{smallTasks(600, 300)})
+	s.accepted = append(s.accepted, j)
+	s.stored[j.ID] = []byte(`{"Begun":true,"Steps":[{"Occurrence":-1}],"Divided":{"Next":1,"Open":[0]}}`)
+	s.parts[PartKey{j.ID, 0}] = []byte(`{"Steps":[{"Done":true}]}`)
+	s.parts[PartKey{j.ID, 1}] = []byte(`{"Steps":[{"Tasks":[{"Index":64,"Done":true,"Run":1},{"Index":65,"Run":2}]}]}`)
+	s.takeOver(0)
+	restored := s.board.jobs[j.ID]
+	s.board.handOverJob(restored, "other")
+	require.Len(t, restored.outgoing, 1)
+	transfer := restored.outgoing[0]
+	assert.True(t, transfer.Complete)
+	assert.Equal(t, 65, countDoneRecorded(j, transfer.Record.Steps))
+	assert.Equal(t, 65, restored.countDone())
+}
+
+// TestDoneTasksThatEarlierVersionLeftOut checks how a job is taken in that an earlier version has handed over without the tasks
+// of parts that were done as a whole.
+func TestDoneTasksThatEarlierVersionLeftOut(t *testing.T) {
+	// span is a range of tasks that have started and of which the first ones are done.
+	type span struct{ first, done, end int }
+	gang, lasting := smallTasks(600, 300), smallTasks(600, 50)
+	gang.Gang, lasting.LongRunning = true, true
+	tests := map[string]struct {
+		step     dotterjob.Step
+		shown    []span
+		complete bool
+		starts   int // that are left
+	}{
+		"first parts left out":           {step: smallTasks(600, 300), shown: []span{{128, 150, 200}}, starts: 450},
+		"a part between others left out": {step: smallTasks(600, 300), shown: []span{{0, 60, 64}, {128, 150, 200}}, starts: 454},
+		"nothing left out":               {step: smallTasks(600, 300), shown: []span{{0, 150, 200}}, starts: 450},
+		"nothing has started":            {step: smallTasks(600, 300), starts: 600},
+		"undivided job":                  {step: smallTasks(300, 300), shown: []span{{128, 150, 200}}, starts: 278},
+		"gang":                           {step: gang, shown: []span{{128, 128, 200}}, starts: 600},
+		"long-running tasks":             {step: lasting, shown: []span{{128, 128, 200}}, starts: 600},
+		"of this version":                {step: smallTasks(600, 300), shown: []span{{128, 150, 200}}, complete: true, starts: 578},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShard(t, 12)
+			s.run(300)
+			j := s.job(testQueue, 1, 0, []dotterjob.Step{tc.step})
+			s.pool.AddJob(j)
+			r := StepRecord{}
+			for _, shown := range tc.shown {
+				for i := shown.first; i < shown.end; i++ {
+					r.Tasks = append(r.Tasks, TaskRecord{Index: i, Run: 1, Done: i < shown.done})
+				}
+			}
+			s.board.Absorb(s.clock.Now(), 0, "key", Transfer{Job: j, Home: true, Complete: tc.complete, Record: Record{Begun: true, Moves: 1, Steps: []StepRecord{r}}})
+			s.until(9000, func() bool { return s.pool.Starts(j.ID) >= tc.starts })
+			s.run(2000)
+			assert.Equal(t, tc.starts, s.pool.Starts(j.ID))
+			if !tc.step.LongRunning {
+				assert.Equal(t, dotterjob.Completed, s.state(j.ID))
+			}
+			s.takeOver(0)
+			s.run(500)
+			assert.Equal(t, tc.starts, s.pool.Starts(j.ID), "starts after a takeover")
+		})
+	}
+}
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -144,10 +144,8 @@
 		r.Done = !final
 		return r
 	}
-	// The tasks of a divided job that visits are away unless its parts show them.
-	listed := s.occurrence.job.isDivided() && s.occurrence.job.visiting
 	for _, t := range existing {
-		if final && !t.isBound() || t.run == 0 && t.phase != away && !listed || t.phase == away && listed {
+		if final && !t.isBound() || t.isInitial() {
 			continue
 		}
 		task := TaskRecord{Index: t.index, Run: t.run, Away: t.phase == away}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -110,6 +110,16 @@
 	return t.phase != waiting && t.phase != done && t.phase != away
 }
 
+// isInitial reports whether the task is in the state that a record shows by leaving it out: away if the job is divided and
+// visits, otherwise waiting and never bound. A run number of 0 alone does not tell, because a part that is done as a whole
+// does not store those of its tasks.
+func (t *task) isInitial() bool {
+	if j := t.job(); j.isDivided() && j.visiting {
+		return t.phase == away
+	}
+	return t.phase == waiting && t.run == 0
+}
+
 // mayHaveReachedWorker reports whether the worker may have received the start order.
 func (t *task) mayHaveReachedWorker() bool {
 	return t.phase == ordered || t.phase == uncertain || t.phase == inherited || t.phase == running
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -1,6 +1,8 @@
 package dotterboard
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"github.com/dotterelusher/dotterelusher/internal/base/dotterclock"
@@ -14,10 +16,13 @@
 // whose commit applies and deletes it. So at any time exactly one shard may start a task,
 // whichever owners are replaced meanwhile.
 type Transfer struct {
-	Job    dotterjob.Job
-	Home   bool   `json:",omitempty"` // all tasks are handed over, and the receiver becomes the job's home
-	Record Record // progress of the tasks that are handed over
-	To     string `json:"-"` // the receiving shard
+	Job  dotterjob.Job
+	Home bool `json:",omitempty"` // all tasks are handed over, and the receiver becomes the job's home
+	// Complete tells that tasks which the record of a whole job leaves out have never started. Earlier versions, which do not set
+	// it, also left out those that were done in a part that was done as a whole when its owner restored it.
+	Complete bool   `json:",omitempty"`
+	Record   Record // progress of the tasks that are handed over
+	To       string `json:"-"` // the receiving shard
 
 	parts []int // of the sender's progress that it has changed; they are stored with it
 }
@@ -58,7 +63,7 @@
 	for _, o := range j.occurrences {
 		tasks += o.waiting()
 	}
-	t := &Transfer{Job: j.Job, Home: true, Record: Record{Begun: j.begun, Moves: j.moves, Steps: b.newSteps(j)}, To: to}
+	t := &Transfer{Job: j.Job, Home: true, Complete: true, Record: Record{Begun: j.begun, Moves: j.moves, Steps: b.newSteps(j)}, To: to}
 	if j.isDivided() && len(j.partsOfRecord(t.Record)) > maxTransferParts {
 		j.moves--
 		return // its receiver could not store what it has begun in one commit
@@ -135,6 +140,10 @@
 			o.setAway()
 		}
 	}
+	doneShown := countDoneRecorded(t.Job, t.Record.Steps)
+	if t.Home && !t.Complete {
+		t.Record.Steps = j.withOmittedDone(t.Record.Steps)
+	}
 	j.begun = j.begun || t.Record.Begun
 	j.moves = max(j.moves, t.Record.Moves)
 	j.account.Inherit() // the other shard's account stays there
@@ -142,11 +151,11 @@
 	if t.Home {
 		j.visiting = false
 		j.openAway(t.Record)
-		recorded := map[dotterjob.TaskID]TaskRecord{}
+		records := map[dotterjob.TaskID]TaskRecord{}
 		for _, s := range t.Record.Steps {
-			b.forEachRecorded(j, s, func(task *task, r TaskRecord) { recorded[task.id()] = r })
+			b.forEachRecorded(j, s, func(task *task, r TaskRecord) { records[task.id()] = r })
 		}
-		j.forEachTask(func(task *task) { count += b.takeIn(now, task, recorded[task.id()]) })
+		j.forEachTask(func(task *task) { count += b.takeIn(now, task, records[task.id()]) })
 	} else {
 		if j.visiting {
 			j.openAway(Record{Visiting: true, Steps: t.Record.Steps})
@@ -164,11 +173,38 @@
 	done := countDoneRecorded(j.Job, t.Record.Steps)
 	b.counters.DoneAbsorbed += int64(done)
 	b.logger.Info("tasks absorbed", zap.String("Job", string(j.ID)), zap.String("Key", key), zap.Bool("Home", t.Home),
-		zap.Int("Tasks", count), zap.Int("Done", done), zap.Int("Moves", j.moves))
+		zap.Int("Tasks", count), zap.Int("Done", done), zap.Int("DoneInferred", done-doneShown), zap.Int("Moves", j.moves))
 	b.markDirty(j)
 	b.applyCancellation(now, j.ID)
 }
 
+// withOmittedDone returns the records of steps that an earlier version has handed over with the whole job, and in them the done tasks
+// that it left out. Tasks of a step start in the order of their indexes, so a part of which it shows none, although a later
+// task has started, is done. Where no later task has started, such a part can't be told from one that has not begun.
+func (j *job) withOmittedDone(steps []StepRecord) []StepRecord {
+	if !j.isDivided() {
+		return steps
+	}
+	steps = slices.Clone(steps)
+	for i, r := range steps {
+		if declared := j.Steps[r.Step]; r.Done || declared.Gang || declared.LongRunning {
+			continue
+		}
+		shown := j.partsOf(r)
+		last := 0
+		for _, t := range r.Tasks {
+			last = max(last, t.Index)
+		}
+		steps[i].Tasks = slices.Clone(r.Tasks)
+		for index := range last {
+			if !slices.Contains(shown, j.partOf(r.Occurrence, r.Step, index)) {
+				steps[i].Tasks = append(steps[i].Tasks, TaskRecord{Index: index, Done: true})
+			}
+		}
+	}
+	return steps
+}
+
 // forEachRecorded calls visit for each task in the record of a step.
 func (b *Board) forEachRecorded(j *job, r StepRecord, visit func(*task, TaskRecord)) {
 	o := j.occurrence(r.Occurrence)
