A job that is back before the answer to its handover keeps its parts

Would be seen by callers: done tasks run again after a takeover. The answer to the commit with which a divided job leaves had its parts deleted later, also if the job was back by then and had written the same keys again. Change: they become the job's own parts again, which are written or deleted with its progress.

--- a/internal/job/dotterboard/batch.go
+++ b/internal/job/dotterboard/batch.go
@@ -366,6 +366,9 @@
 	}
 	for _, t := range batch.taken {
 		b.orphans = append(b.orphans, t.orphans...)
+		if j, ok := b.jobs[t.job.ID]; ok && j != t.job { // it has come back already, and its parts have the same keys
+			b.adoptOrphans(j)
+		}
 	}
 	for _, j := range batch.finals {
 		j.storedOutcome = j.outcome
--- a/internal/job/dotterboard/part_test.go
+++ b/internal/job/dotterboard/part_test.go
@@ -427,3 +427,26 @@
 		})
 	}
 }
+
+// TestReturnBeforeAnswerKeepsParts guards against the progress of a job that comes back before the store has answered the
+// commit with which it left: the parts of its earlier stay are deleted then, and have the same keys.
+func TestReturnBeforeAnswerKeepsParts(t *testing.T) {
+	f := newFederation(t, map[string]int{"a": 3, "b": 6})
+	a := f.shards["a"]
+	id := f.submit("a", 1, tasks(600, 300))
+	f.until(10_000, func() bool { return f.pool.Starts(id) > 300 })
+	a.answersHeld = true
+	f.setOut("a", true)
+	f.until(1000, func() bool { return f.homes[id] == "b" })
+	f.setOut("a", false)
+	f.setOut("b", true)
+	f.until(3000, func() bool { return f.homes[id] == "a" && !a.board.jobs[id].leaving })
+	require.NotNil(t, a.unanswered)
+	a.answer()
+	f.run(300)
+	f.replaceOwner("a")
+	f.setOut("b", true)
+	f.until(20_000, func() bool { return f.state(id) == dotterjob.Completed })
+	assert.Equal(t, 600, f.pool.Starts(id))
+	f.requireNoViolations()
+}
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -47,6 +47,9 @@
 	tenants  []dotterqueues.Tenant
 	oneBatch bool // whether a tick stores one batch at most
 
+	answersHeld bool   // whether the store's answers to commits that hand tasks over are held back
+	unanswered  *Batch // stored, and not answered yet; nothing else is stored meanwhile
+
 	batches, storedBytes int                        // stored so far
 	mostUsed             map[string]dotterroom.Room // by tenant: what has run at the same time at most
 
@@ -291,7 +294,7 @@
 
 // commit stores all pending changes, unless the store is down.
 func (s *shard) commit() {
-	for s.storeUp && s.board.Dirty() && !s.commitBatch() {
+	for s.storeUp && s.unanswered == nil && s.board.Dirty() && !s.commitBatch() {
 	}
 }
 
@@ -321,10 +324,22 @@
 	if s.federation != nil {
 		s.federation.store(s, batch)
 	}
+	if s.answersHeld && len(batch.Transfers) > 0 {
+		s.unanswered = batch
+		return true
+	}
 	s.board.HandleCommitted(s.clock.Now(), batch)
 	return s.oneBatch
 }
 
+// answer delivers the store's answer to the last commit, and all later ones at once.
+func (s *shard) answer() {
+	if s.unanswered != nil {
+		s.board.HandleCommitted(s.clock.Now(), s.unanswered)
+	}
+	s.answersHeld, s.unanswered = false, nil
+}
+
 // deliver sends an order to its worker and passes the answer to the board.
 func (s *shard) deliver(o *Order) {
 	ctx := context.Background()
