A waiting task of a visiting schedule survives a takeover

Would be seen by callers: a long-running task of a schedule never starts after it was handed over and the receiving owner was replaced. Test: TestWaitingTaskOfVisitingScheduleSurvivesTakeover, undivided, failed before: not started in 9 s. The divided job passed before. Result: it starts; the other tests of handovers and TestShardsKeepInvariantsUnderFaults pass.

--- a/internal/job/dotterboard/part_test.go
+++ b/internal/job/dotterboard/part_test.go
@@ -450,3 +450,28 @@
 	assert.Equal(t, 600, f.pool.Starts(id))
 	f.requireNoViolations()
 }
+
+// TestWaitingTaskOfVisitingScheduleSurvivesTakeover guards against a task that another shard has handed over, and that is
+// forgotten because it has never run and its occurrence has no other progress here.
+func TestWaitingTaskOfVisitingScheduleSurvivesTakeover(t *testing.T) {
+	tests := map[string]int{"undivided": 4, "divided": 600} // occurrences
+	for name, times := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFederation(t, map[string]int{"a": 1, "b": 1})
+			j := f.shards["a"].job(testQueue, 1, 0, []dotterjob.Step{lastingStep(1)})
+			j.Times, j.FirstDue, j.Interval = times, f.clock.Now(), 100
+			f.pool.AddJob(j)
+			f.apart = true
+			f.pool.SetUnreachable("b00", true)
+			f.run(300)
+			record := Record{Begun: true, Steps: []StepRecord{{Occurrence: 1, Tasks: []TaskRecord{{Moves: 1}}}}}
+			f.inbox["b"]["key"] = Transfer{Job: j, Record: record, To: "b"}
+			f.run(300)
+			require.Empty(t, f.inbox["b"])
+			f.replaceOwner("b")
+			f.pool.SetUnreachable("b00", false)
+			f.until(9000, func() bool { return f.runningIn(j.ID)["b"] == 1 })
+			f.requireNoViolations()
+		})
+	}
+}
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -111,11 +111,12 @@
 }
 
 // isInitial reports whether the task is in the state that a record shows by leaving it out: away if the job is divided and
-// visits, otherwise waiting and never bound. A run number of 0 alone does not tell, because a part that is done as a whole
-// does not store those of its tasks.
+// visits, otherwise waiting and never bound. An undivided job that visits leaves no task out, so that its record names each
+// occurrence of which it has tasks. A run number of 0 alone does not tell, because a part that is done as a whole does not
+// store those of its tasks.
 func (t *task) isInitial() bool {
-	if j := t.job(); j.isDivided() && j.visiting {
-		return t.phase == away
+	if j := t.job(); j.visiting {
+		return j.isDivided() && t.phase == away
 	}
 	return t.phase == waiting && t.run == 0
 }
