Failed attempts are logged and counted where they are counted against a task

"run ended" has the count before the end, and neither the limit nor whether the end counts, so that a job which is given up after one run looks like one that failed by its own fault. Change: "attempt failed" has Run, Gang, Failures and MaxAttempts; dotterelusher_attempts_failed_total{shard}.

--- a/internal/job/dotterboard/counters.go
+++ b/internal/job/dotterboard/counters.go
@@ -22,6 +22,7 @@
 	Excluded       int64                       // jobs that are left as they are stored, because they cannot be handled
 	Rejected       int64                       // jobs whose progress the store has rejected for good
 	Panics         int64                       // contained panics that belong to no single job
+	FailedAttempts int64                       // failed runs of tasks, and of gangs
 	Crashes        int64                       // crashes of workers that were counted against a task
 	HandedOver     int64                       // tasks handed over to other shards
 	Absorbed       int64                       // tasks taken from other shards
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -439,6 +439,9 @@
 func (b *Board) handleFailure(now dotterclock.Millis, w *worker, t *task) {
 	j := t.job()
 	t.failures++
+	b.counters.FailedAttempts++
+	b.logger.Info("attempt failed", zap.String("Job", string(j.ID)), zap.String("Task", t.id().String()), zap.Int("Run", t.run), zap.String("Worker", w.ID),
+		zap.Bool("Gang", t.step.Gang), zap.Int("Failures", t.failures), zap.Int("MaxAttempts", j.queue.MaxAttempts))
 	w.faults.addFault(now, 1/float64(t.failures))
 	if t.step.Gang {
 		for _, other := range t.step.allTasks() {
--- a/internal/server/dotterscheduler/metrics.go
+++ b/internal/server/dotterscheduler/metrics.go
@@ -31,6 +31,7 @@
 	excluded    *prometheus.Desc
 	rejected    *prometheus.Desc
 	relief      *prometheus.Desc
+	attempts    *prometheus.Desc
 	crashes     *prometheus.Desc
 	reserved    *prometheus.Desc
 	panics      *prometheus.Desc
@@ -68,6 +69,7 @@
 		transferred: desc("tasks_handed_over_total", "Tasks handed over between this shard and others, by direction.", "shard", "direction"),
 		doneMoved:   desc("done_tasks_handed_over_total", "Done tasks of jobs that were handed over between this shard and others, by direction.", "shard", "direction"),
 		relief:      desc("relief_actions_total", "Orders to filling tasks for serving tasks beside them and restarts of serving tasks, by action.", "shard", "action"),
+		attempts:    desc("attempts_failed_total", "Failed runs that were counted against a task or a gang.", "shard"),
 		crashes:     desc("task_crashes_total", "Crashes of workers that were counted against a task that had just started there.", "shard"),
 		reserved:    desc("reservations_total", "Reservations of room for large tasks, by what became of them.", "shard", "outcome"),
 		excluded:    desc("jobs_excluded_total", "Jobs left as they are stored because they cannot be handled.", "shard"),
@@ -136,6 +138,7 @@
 		counter(c.doneMoved, s.DoneAbsorbed, shard, "Received")
 		counter(c.excluded, s.Excluded, shard)
 		counter(c.rejected, s.Rejected, shard)
+		counter(c.attempts, s.FailedAttempts, shard)
 		counter(c.crashes, s.Crashes, shard)
 		for _, outcome := range dotterlookahead.Outcomes {
 			counter(c.reserved, s.Reservations[outcome], shard, string(outcome))
