A failed run of a gang is one attempt, however many of its members fail

Cause: each member's end added one to the count of all members, so that six ends of one run counted six attempts. Change: the run that was counted last is kept and stored with the count, and goes with handovers (FailedRun). A further end of that run counts no more. Counts that an earlier version stored too high are limited to the number of earlier runs when the next run fails. A worker's faults count once a run of a gang.

--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -78,6 +78,8 @@
 	position      int                // in the order of the last plan with look-ahead
 	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
+	faultyRun     int                // of a gang: the last run of which a member failed, as far as this owner knows; 0: none
+	faultyWorkers []*worker          // on which members failed in faultyRun
 }
 
 func newJob(j dotterjob.Job, queue dotterqueues.Queue, localAcceptedAt dotterclock.Millis) *job {
@@ -111,6 +113,18 @@
 	return s.tasks
 }
 
+// noteFault records that a member of the gang failed on the worker in a run, and reports whether it is the first one there.
+func (s *step) noteFault(run int, w *worker) bool {
+	if s.faultyRun != run {
+		s.faultyRun, s.faultyWorkers = run, nil
+	}
+	if slices.Contains(s.faultyWorkers, w) {
+		return false
+	}
+	s.faultyWorkers = append(s.faultyWorkers, w)
+	return true
+}
+
 // sizeClass returns the binary size class of the processor time that a task of the step
 // reserves. Filling tasks reserve none.
 func (s *step) sizeClass() int {
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -438,20 +438,48 @@
 // one counts against the worker.
 func (b *Board) handleFailure(now dotterclock.Millis, w *worker, t *task) {
 	j := t.job()
-	t.failures++
-	b.counters.FailedAttempts++
-	b.logger.Info("attempt failed", zap.String("Job", string(j.ID)), zap.String("Task", t.id().String()), zap.Int("Run", t.run), zap.String("Worker", w.ID),
-		zap.Bool("Gang", t.step.Gang), zap.Int("Failures", t.failures), zap.Int("MaxAttempts", j.queue.MaxAttempts))
-	w.faults.addFault(now, 1/float64(t.failures))
+	if b.countFailure(t) {
+		b.counters.FailedAttempts++
+		b.logger.Info("attempt failed", zap.String("Job", string(j.ID)), zap.String("Task", t.id().String()), zap.Int("Run", t.run), zap.String("Worker", w.ID),
+			zap.Bool("Gang", t.step.Gang), zap.Int("Failures", t.failures), zap.Int("MaxAttempts", j.queue.MaxAttempts))
+	}
+	if !t.step.Gang || t.step.noteFault(t.run, w) {
+		w.faults.addFault(now, 1/float64(t.failures))
+	}
 	if t.step.Gang {
-		for _, other := range t.step.allTasks() {
-			other.failures = max(other.failures, t.failures)
-			b.markTask(other)
-		}
 		b.stopGang(now, t.step)
 	}
 	if t.step.LongRunning || j.queue.MaxAttempts == 0 || t.failures < j.queue.MaxAttempts || j.outcome != "" {
 		return
 	}
-	b.finish(now, j, dotterjob.Failed, "task "+t.id().String()+" failed as often as its queue allows")
+	reason := "task " + t.id().String() + " failed as often as its queue allows"
+	if t.step.Gang {
+		reason = "the gang of " + reason
+	}
+	b.finish(now, j, dotterjob.Failed, reason)
+}
+
+// countFailure counts the failed run of a task, and reports whether it is a further attempt. The members of a gang have the
+// same runs, so a run that failed for several of them is one attempt.
+func (b *Board) countFailure(t *task) bool {
+	if !t.step.Gang {
+		t.failures++
+		return true
+	}
+	failures, last := 0, 0
+	for _, member := range t.step.tasks { // parts of their progress may have been stored at different times
+		failures, last = max(failures, member.failures), max(last, member.failedRun)
+	}
+	further := last < t.run
+	if further {
+		// Earlier versions counted each member that failed.
+		failures = min(failures, t.run-1) + 1
+	}
+	for _, member := range t.step.allTasks() {
+		if member.failures != failures || member.failedRun != t.run {
+			member.failures, member.failedRun = failures, t.run
+			b.markTask(member)
+		}
+	}
+	return further
 }
--- a/internal/job/dotterboard/record.go
+++ b/internal/job/dotterboard/record.go
@@ -61,6 +61,7 @@
 	Away       bool    `json:",omitempty"` // handed over to another shard
 	Run        int     `json:",omitempty"`
 	Failures   int     `json:",omitempty"`
+	FailedRun  int     `json:",omitempty"` // of a gang: its last run that is among Failures; earlier versions do not set it
 	Moves      int     `json:",omitempty"` // in a transfer: handovers since the last run
 	Worker     string  `json:",omitempty"` // to which the run is bound; empty: none
 	Address    string  `json:",omitempty"` // of that worker, which may have left the directory when the record is read
@@ -150,7 +151,7 @@
 		}
 		task := TaskRecord{Index: t.index, Run: t.run, Away: t.phase == away}
 		if !final {
-			task.Done, task.Failures, task.Crashes, task.Expired = t.phase == done, t.failures, t.crashes, t.expiredRuns
+			task.Done, task.Failures, task.FailedRun, task.Crashes, task.Expired = t.phase == done, t.failures, t.failedRun, t.crashes, t.expiredRuns
 		}
 		if t.isBound() {
 			task.Worker, task.Address = t.worker.ID, t.worker.Address
@@ -415,7 +416,8 @@
 		if !task.Away {
 			t.takeBack()
 		}
-		t.run, t.failures, t.checkpoint, t.crashes, t.expiredRuns = task.Run, task.Failures, task.Checkpoint, task.Crashes, task.Expired
+		t.run, t.failures, t.failedRun = task.Run, task.Failures, task.FailedRun
+		t.checkpoint, t.crashes, t.expiredRuns = task.Checkpoint, task.Crashes, task.Expired
 		switch {
 		case task.Done:
 			b.restoreDone(t)
--- a/internal/job/dotterboard/task.go
+++ b/internal/job/dotterboard/task.go
@@ -32,7 +32,8 @@
 	runLost    bool               // whether the last run was lost, not ended
 	moves      int                // handovers since the last run
 	arrivedAt  dotterclock.Millis // when it was last handed over to this shard; 0: it was not
-	failures   int                // failed runs; the members of a gang share the highest count
+	failures   int                // failed runs; the members of a gang share the count of its runs
+	failedRun  int                // of a gang: its last run that counts as failed; 0: none
 	worker     *worker            // to which the task is bound; nil: none
 	checkpoint string
 	savedAt    dotterclock.Millis // when checkpoint was listed; 0: by a previous owner, or it is empty
--- a/internal/job/dotterboard/transfer.go
+++ b/internal/job/dotterboard/transfer.go
@@ -234,7 +234,7 @@
 	t.takeBack()
 	t.moves, t.arrivedAt = r.Moves, now
 	t.runLost = t.runLost || r.Moves > 0 && r.Run > 0
-	t.run, t.failures, t.checkpoint = max(t.run, r.Run), max(t.failures, r.Failures), r.Checkpoint
+	t.run, t.failures, t.failedRun, t.checkpoint = max(t.run, r.Run), max(t.failures, r.Failures), max(t.failedRun, r.FailedRun), r.Checkpoint
 	if len(r.Crashes) > len(t.crashes) {
 		t.crashes = r.Crashes
 	}
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -1,6 +1,7 @@
 package dotterstandpool
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -142,6 +143,20 @@
 	p.update(id, func(w *Worker) { w.failing = failing })
 }
 
+// FailRuns ends runs of the worker's job as failed, those with the lowest indexes first and at most count, and returns how many.
+func (p *Pool) FailRuns(id string, job dotterjob.ID, count int) int {
+	failed := 0
+	p.update(id, func(w *Worker) {
+		for _, task := range slices.SortedFunc(maps.Keys(w.running), func(a, b dotterjob.TaskID) int { return cmp.Compare(a.Index, b.Index) }) {
+			if task.Job == job && failed < count {
+				w.end(w.running[task], dotterrun.Failed, p.clock.Now())
+				failed++
+			}
+		}
+	})
+	return failed
+}
+
 // SetDraining sets whether the directory lists a worker as draining.
 func (p *Pool) SetDraining(id string, draining bool) {
 	p.update(id, func(w *Worker) { w.Draining = draining })
