--- a/internal/job/dotterboard/attempt_test.go
+++ b/internal/job/dotterboard/attempt_test.go
@@ -28,12 +28,10 @@
 }
 
 // failEverywhere fails at most count runs of the job on each worker.
-func (s *shard) failEverywhere(id dotterjob.ID, count int) int {
-	failed := 0
+func (s *shard) failEverywhere(id dotterjob.ID, count int) {
 	for worker := range s.pool.Listed() {
-		failed += s.pool.FailRuns(worker, id, count)
+		s.pool.FailRuns(worker, id, count)
 	}
-	return failed
 }
 
 // TestFailedRunOfGangIsOneAttempt guards against a gang that is given up after one failed run, because each of its members that
--- a/internal/job/dotterboard/shard_test.go
+++ b/internal/job/dotterboard/shard_test.go
@@ -125,6 +125,7 @@
 		require.NoError(s.t, s.board.RestoreLearned(now, s.learned))
 	}
 	s.renewedAt = map[string]dotterclock.Millis{}
+	s.unanswered = nil
 }
 
 // submit accepts a job with the given steps.
--- a/internal/standin/dotterstandpool/pool.go
+++ b/internal/standin/dotterstandpool/pool.go
@@ -143,14 +143,14 @@
 	p.update(id, func(w *Worker) { w.failing = failing })
 }
 
-// FailRuns ends runs of the worker's job as failed, those with the lowest indexes first and at most count, and returns how many.
-func (p *Pool) FailRuns(id string, job dotterjob.ID, count int) int {
-	failed := 0
+// FailRuns ends runs of the job on the worker as failed, those with the lowest indexes first and at most count, and returns them.
+func (p *Pool) FailRuns(id string, job dotterjob.ID, count int) []dotterrun.Ref {
+	var failed []dotterrun.Ref
 	p.update(id, func(w *Worker) {
 		for _, task := range slices.SortedFunc(maps.Keys(w.running), func(a, b dotterjob.TaskID) int { return cmp.Compare(a.Index, b.Index) }) {
-			if task.Job == job && failed < count {
-				w.end(w.running[task], dotterrun.Failed, p.clock.Now())
-				failed++
+			if r := w.running[task]; task.Job == job && len(failed) < count {
+				w.end(r, dotterrun.Failed, p.clock.Now())
+				failed = append(failed, r.Ref)
 			}
 		}
 	})
