--- a/internal/job/dotterboard/attempt_test.go
+++ b/internal/job/dotterboard/attempt_test.go
@@ -39,7 +39,7 @@
 func TestFailedRunOfGangIsOneAttempt(t *testing.T) {
 	tests := map[string]struct {
 		perWorker int64
-		fail      func(s *shard, id dotterjob.ID) // the present run
+		fail      func(s *shard, id dotterjob.ID) // fails the run that is going on
 	}{
 		"one member": {6, func(s *shard, id dotterjob.ID) { s.pool.FailRuns(s.workersOf(id)[0], id, 1) }},
 		"all members on one worker, in one listing": {6, func(s *shard, id dotterjob.ID) { s.failEverywhere(id, 6) }},
@@ -109,8 +109,8 @@
 	}
 }
 
-// TestAttemptsOfDividedGang guards against the same where the members' progress is stored in several parts, and against a count
-// that is lost because the part of the member that failed is not stored yet.
+// TestAttemptsOfDividedGang guards against a run that counts as several attempts, or as none, because the progress of the gang's
+// members is stored in several parts and the owner is replaced before all of them are.
 func TestAttemptsOfDividedGang(t *testing.T) {
 	s := newFailingShard(t)
 	gang := smallTasks(600, 20_000)
--- a/internal/job/dotterboard/job.go
+++ b/internal/job/dotterboard/job.go
@@ -78,8 +78,8 @@
 	position      int                // in the order of the last plan with look-ahead
 	aheadID       dotterlookahead.ID // its name in the book of reservations; empty: it never asked for one
 	tickets       *tickets           // admission tickets; used if the queue has an admission policy
-	faultyRun     int                // of a gang: the last run of which a member failed, as far as this owner knows; 0: none
-	faultyWorkers []*worker          // on which members failed in faultyRun
+	faultsOfRun   int                // of a gang: the run of which this owner counted the last fault of a worker; 0: none
+	faultsOn      []*worker          // on which it counted a fault of that run
 }
 
 func newJob(j dotterjob.Job, queue dotterqueues.Queue, localAcceptedAt dotterclock.Millis) *job {
@@ -113,15 +113,15 @@
 	return s.tasks
 }
 
-// noteFault records that a member of the gang failed on the worker in a run, and reports whether it is the first one there.
+// noteFault records that a member of the gang failed on the worker in a run, and reports whether no other member did so before.
 func (s *step) noteFault(run int, w *worker) bool {
-	if s.faultyRun != run {
-		s.faultyRun, s.faultyWorkers = run, nil
+	if s.faultsOfRun != run {
+		s.faultsOfRun, s.faultsOn = run, nil
 	}
-	if slices.Contains(s.faultyWorkers, w) {
+	if slices.Contains(s.faultsOn, w) {
 		return false
 	}
-	s.faultyWorkers = append(s.faultyWorkers, w)
+	s.faultsOn = append(s.faultsOn, w)
 	return true
 }
 
--- a/internal/job/dotterboard/listing.go
+++ b/internal/job/dotterboard/listing.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strconv"
 
 	"go.uber.org/zap"
 
@@ -452,15 +453,15 @@
 	if t.step.LongRunning || j.queue.MaxAttempts == 0 || t.failures < j.queue.MaxAttempts || j.outcome != "" {
 		return
 	}
-	reason := "task " + t.id().String() + " failed as often as its queue allows"
+	name := "task " + t.id().String()
 	if t.step.Gang {
-		reason = "the gang of " + reason
+		name = "the gang of " + name
 	}
-	b.finish(now, j, dotterjob.Failed, reason)
+	b.finish(now, j, dotterjob.Failed, name+" failed as often as its queue allows, "+strconv.Itoa(t.failures)+" times")
 }
 
-// countFailure counts the failed run of a task, and reports whether it is a further attempt. The members of a gang have the
-// same runs, so a run that failed for several of them is one attempt.
+// countFailure counts the failed run of a task, and reports whether it is a further attempt. The members of a gang share
+// their runs, so a run in which several of them failed is one attempt.
 func (b *Board) countFailure(t *task) bool {
 	if !t.step.Gang {
 		t.failures++
--- a/internal/job/dotterboard/part_test.go
+++ b/internal/job/dotterboard/part_test.go
@@ -362,7 +362,8 @@
 	}
 }
 
-// TestTransferShowsDoneTasksOfDonePart guards against the same in the transfer itself.
+// TestTransferShowsDoneTasksOfDonePart guards against a transfer of a whole job that leaves out the done tasks of a part which
+// its owner has restored as done.
 func TestTransferShowsDoneTasksOfDonePart(t *testing.T) {
 	s := newShard(t, 12)
 	j := s.job(testQueue, 1, 0, []dotterjob.Step{smallTasks(600, 300)})
--- a/internal/job/dotterboard/wide_faults_test.go
+++ b/internal/job/dotterboard/wide_faults_test.go
@@ -18,7 +18,7 @@
 	wideSeeds = flag.Uint64("wide.seeds", 40, "number of its seeds")
 )
 
-// wideFaults is a federation with jobs whose progress is stored in parts and with gangs, and what went wrong with the gangs.
+// wideFaults is a federation in which random faults meet gangs, and jobs whose progress is stored in parts.
 type wideFaults struct {
 	*federation
 	draw  *rand.Rand
@@ -26,13 +26,24 @@
 	gangs map[dotterjob.ID]map[int]bool // numbers of the runs of which a member failed
 }
 
-func (f *wideFaults) shard() *shard     { return f.shards[f.names[f.draw.IntN(len(f.names))]] }
-func (f *wideFaults) anyWorker() string { return f.worker(f.shard().name, f.draw.IntN(3)) }
-func (f *wideFaults) chance() bool      { return f.draw.IntN(2) == 0 }
+// anyShard returns one of the shards.
+func (f *wideFaults) anyShard() *shard {
+	return f.shards[f.names[f.draw.IntN(len(f.names))]]
+}
+
+// anyWorker returns the ID of one of the workers.
+func (f *wideFaults) anyWorker() string {
+	return f.worker(f.anyShard().name, f.draw.IntN(3))
+}
+
+// chance returns true half of the time.
+func (f *wideFaults) chance() bool {
+	return f.draw.IntN(2) == 0
+}
 
 // submitAny submits a wide job, a schedule wider than a part, or a gang.
 func (f *wideFaults) submitAny() {
-	home, number := f.shard().name, len(f.ids)+1
+	home, number := f.anyShard().name, len(f.ids)+1
 	var id dotterjob.ID
 	switch f.draw.IntN(4) {
 	case 0:
@@ -60,7 +71,7 @@
 	}
 }
 
-// disturb does one thing.
+// disturb submits a job, or injects or lifts one fault.
 func (f *wideFaults) disturb() {
 	actions := []func(){
 		f.submitAny, f.submitAny, f.failMembers,
@@ -68,19 +79,19 @@
 		func() { f.pool.SetUnreachable(f.anyWorker(), false) },
 		func() { f.pool.SetUnreachable(f.anyWorker(), false) },
 		func() { f.pool.LoseAnswers(f.anyWorker(), 2) },
-		func() { f.shard().storeUp = f.chance() },
-		func() { f.shard().oneBatch = f.chance() },
-		func() { f.shard().answersHeld = true },
-		func() { f.shard().answer() },
-		func() { f.replaceOwner(f.shard().name) },
-		func() { f.replaceOwner(f.shard().name) },
-		func() { f.setOut(f.shard().name, f.chance()) },
-		func() { f.setOut(f.shard().name, f.chance()) },
+		func() { f.anyShard().storeUp = f.chance() },
+		func() { f.anyShard().oneBatch = f.chance() },
+		func() { f.anyShard().answersHeld = true },
+		func() { f.anyShard().answer() },
+		func() { f.replaceOwner(f.anyShard().name) },
+		func() { f.replaceOwner(f.anyShard().name) },
+		func() { f.setOut(f.anyShard().name, f.chance()) },
+		func() { f.setOut(f.anyShard().name, f.chance()) },
 	}
 	actions[f.draw.IntN(len(actions))]()
 }
 
-// mend ends all disturbances.
+// mend lifts all faults.
 func (f *wideFaults) mend() {
 	for _, name := range f.names {
 		s := f.shards[name]
