review: a gang never starts again after its minion crashed under it

Cause: members of a gang that crashed with their minion within 0.5 s of its start each need a minion of their own, and the gang is placed as a whole or not at all.

--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -128,8 +128,12 @@
 	}
 }
 
-// crash ends the life; nothing is said of it. The entry is removed after three beats unless it is back by then.
-func (m *minion) crash(down time.Duration) {
+// crash ends the life; nothing is said of it. The next one begins after the time down, under the same id.
+func (m *minion) crash(down time.Duration) { m.crashAndReturn(down, m.id) }
+
+// crashAndReturn does the same with a new id. An entry is removed after three beats unless the id is back by then.
+func (m *minion) crashAndReturn(down time.Duration, id string) {
+	old := m.id
 	m.w.mu.Lock()
 	m.up = false
 	m.life++
@@ -159,15 +163,16 @@
 	go func() {
 		time.Sleep(4500 * time.Millisecond)
 		m.w.mu.Lock()
-		gone := m.life == life
+		gone := m.life == life || m.id != old
 		m.w.mu.Unlock()
 		if gone {
-			m.w.store.delete("servers/" + m.id)
+			m.w.store.delete("servers/" + old)
 		}
 	}()
 	if down > 0 {
 		time.Sleep(down)
 		m.w.mu.Lock()
+		m.id = id
 		m.boot()
 		m.w.mu.Unlock()
 	}
